Wait shorter at the store: a watch dropped without a word kept an old version in force

Cause: the store drops waiting watches without an answer; with a wait of 5 s and 1.5 s for the answer an entry kept version 3 in force until 5.6 s after version 5. Ruled out: peers (all entries' watches were dropped at once). Change: watches wait 2 s, calls 1 s.

--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -71,10 +71,12 @@
 	dialTimeout = 250 * time.Millisecond
 	// storeTimeout bounds a call to the store, and a watch beyond its wait. The
 	// store answers in milliseconds, and in up to some 250 ms while it is slow.
-	storeTimeout = 1500 * time.Millisecond
-	// watchWait is how long one watch waits. Each call is counted, and a
-	// connection that went silent is found only when it is over.
-	watchWait = 5 * time.Second
+	storeTimeout = time.Second
+	// watchWait is how long one watch waits. Each call is counted, but a watch
+	// that the store has dropped without a word is found only when the wait is
+	// over, and a configuration has to be in force two seconds after it was
+	// acknowledged by a store that has been sound for three.
+	watchWait = 2 * time.Second
 	// storeRetryMin and storeRetryMax bound the pause after a failed call.
 	storeRetryMin = 100 * time.Millisecond
 	storeRetryMax = time.Second
