--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -29,6 +29,8 @@
 	AnswerTokens int64 `json:"a,omitempty"`
 	// Gap is the longest pause between events that the caller expects.
 	Gap time.Duration `json:"g,omitempty"`
+	// Target is when the first event is expected, counted from now on.
+	Target time.Duration `json:"t,omitempty"`
 	// Life bounds how long the request may last from now on.
 	Life time.Duration `json:"l"`
 }
@@ -56,11 +58,13 @@
 	readMs float64
 	// writing says that the server writes the answer.
 	writing bool
-	// spoiled says that the answer already has had a pause that was too long.
-	spoiled bool
 	memory  int64
+	began   time.Time
 }
 
+// split says that several servers read the prompt.
+func (w *work) split() bool { return len(w.dispatch.Helpers) > 0 }
+
 // server is what is believed of one backend server.
 type server struct {
 	id     string
@@ -128,7 +132,7 @@
 	for index, id := range append([]string{d.Server}, d.Helpers...) {
 		s := b.server(id, engine)
 		s.advance(now)
-		w := &work{dispatch: &a.dispatch, index: index, memory: a.dispatch.heldAt(index)}
+		w := &work{dispatch: &a.dispatch, index: index, memory: a.dispatch.heldAt(index), began: now}
 		if engine != nil && d.PromptTokens > 0 {
 			w.readMs = engine.ReadMs(d.PromptTokens, d.parts()) * s.trust.slowness()
 		}
@@ -213,9 +217,9 @@
 	s.works = kept
 }
 
-// advance works the backlog off up to now, in the order of arrival. Beside
-// answers only a part of the time goes into reading: a pass takes its steps and
-// the reads that wait, so the reads' share is theirs over the whole.
+// advance works the backlog off up to now, in the engine's order. Beside answers
+// only a part of the time goes into reading: a pass takes its steps and the reads
+// that wait, so the reads' share is theirs over the whole.
 func (s *server) advance(now time.Time) {
 	elapsed := now.Sub(s.advanced).Seconds() * msPerSecond
 	s.advanced = now
@@ -231,7 +235,7 @@
 		share = backlog / (backlog + s.engine.PassMs(batch))
 	}
 	left := elapsed * math.Max(share, minReadShare)
-	for _, w := range s.works {
+	for _, w := range s.readOrder() {
 		done := math.Min(left, w.readMs)
 		w.readMs -= done
 		left -= done
@@ -245,6 +249,24 @@
 	minReadShare = 0.5
 )
 
+// readOrder returns the reads that wait, in the order in which the engine takes
+// them: parts of divided prompts go before all others, the newest first; whole
+// prompts follow in the order of their arrival.
+func (s *server) readOrder() []*work {
+	order := make([]*work, 0, len(s.works))
+	for i := len(s.works) - 1; i >= 0; i-- {
+		if w := s.works[i]; w.readMs > 0 && w.split() {
+			order = append(order, w)
+		}
+	}
+	for _, w := range s.works {
+		if w.readMs > 0 && !w.split() {
+			order = append(order, w)
+		}
+	}
+	return order
+}
+
 // backlogMs is what is left to read.
 func (s *server) backlogMs() float64 {
 	sum := 0.0
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -122,7 +122,7 @@
 	}
 	best, refusal := Choice{}, NoMemory
 	for _, parts := range partCounts(q.PromptTokens, min(len(candidates), b.options.MaxParts)) {
-		choice, ok := b.chooseParts(candidates, q, parts)
+		choice, ok := b.chooseParts(now, candidates, q, parts)
 		if ok && (refusal != "" || choice.Loss < best.Loss) {
 			best, refusal = choice, ""
 		}
@@ -194,9 +194,9 @@
 }
 
 // chooseParts finds the best servers for a prompt read in a number of parts.
-func (b *Book) chooseParts(candidates []*candidate, q Query, parts int) (Choice, bool) {
+func (b *Book) chooseParts(now time.Time, candidates []*candidate, q Query, parts int) (Choice, bool) {
 	readMs := q.Engine.ReadMs(q.PromptTokens, parts)
-	ranked := b.rank(candidates, q, readMs)
+	ranked := b.rank(now, candidates, q, readMs, parts > 1)
 	first := b.pickFirst(ranked, q, parts)
 	if first < 0 {
 		return Choice{}, false
@@ -240,10 +240,14 @@
 }
 
 // rank orders servers by what a read there would cost.
-func (b *Book) rank(candidates []*candidate, q Query, readMs float64) []ranked {
+func (b *Book) rank(now time.Time, candidates []*candidate, q Query, readMs float64, split bool) []ranked {
 	all := make([]ranked, 0, len(candidates))
 	for i, c := range candidates {
-		helper := c.loss + b.harm(c, readMs*c.state.trust.slowness()) + b.waitLoss(q, c, readMs)
+		slowed := readMs * c.state.trust.slowness()
+		helper := c.loss + b.harm(c, slowed) + b.waitLoss(q, c, readMs)
+		if split {
+			helper += b.delayLoss(now, c, slowed)
+		}
 		// The tie-break turns the order of equal servers round by a random
 		// place.
 		tie := math.Mod(float64(i)/float64(len(candidates))+q.Tie, 1) * tieLoss
@@ -288,7 +292,7 @@
 	sum := 0.0
 	for _, w := range c.state.works {
 		gap := w.dispatch.Gap.Seconds() * msPerSecond
-		if w.writing && !w.spoiled && gap > 0 && before <= gap && before+readMs > gap {
+		if w.writing && gap > 0 && before <= gap && before+readMs > gap {
 			sum += b.value(w.dispatch.PromptTokens) * b.options.LateLoss
 		}
 	}
@@ -317,37 +321,61 @@
 	return b.value(q.PromptTokens) * b.options.LateLoss * 0.2 * (b.firstEventMs(c, q, readMs) / (q.Target.Seconds() * msPerSecond))
 }
 
+// delayLoss is what a part does to the reads that wait at a server: an engine
+// reads the newest part first, so all of them come later by as much. Without it,
+// each new long prompt pushes the earlier ones back until none is in time.
+func (b *Book) delayLoss(now time.Time, c *candidate, readMs float64) float64 {
+	sum, ahead := 0.0, c.passMs
+	for _, w := range c.state.readOrder() {
+		ahead += w.readMs
+		target := w.dispatch.Target
+		if target <= 0 {
+			continue
+		}
+		end := now.Sub(w.began) + enginemodel.Millis(ahead)
+		value := b.value(w.dispatch.PromptTokens) * b.options.LateLoss
+		sum += value * (b.lateShare(end+enginemodel.Millis(readMs), target) - b.lateShare(end, target))
+	}
+	return sum
+}
+
 // firstEventMs predicts when a part read here is done and the next event comes.
+// The backlog counts also for a divided prompt, which engines read before it: the
+// parts that come after it do the same to it.
 func (b *Book) firstEventMs(c *candidate, q Query, readMs float64) float64 {
 	readMs *= c.state.trust.slowness()
-	wait := 0.0
+	wait := c.backlogMs
 	if over := c.requests - q.Engine.Slots + 1; over > 0 {
 		// A slot is free when the shortest of the running answers is done; half
 		// of a usual answer's passes is what that takes on the mean.
 		passes := float64(q.Engine.UsualAnswer) / float64(q.Engine.Stride) / 2
-		wait = float64(over) / float64(q.Engine.Slots) * passes * c.passMs
+		wait += float64(over) / float64(q.Engine.Slots) * passes * c.passMs
 	}
 	if c.batch.Answers > 0 {
-		return wait + c.passMs/2 + c.passMs + c.backlogMs + readMs
+		return wait + c.passMs/2 + c.passMs + readMs
 	}
-	return wait + c.backlogMs + readMs + q.Engine.StepOverheadMs(q.PromptTokens, 1) + q.Engine.PassMs(enginemodel.Batch{Answers: 1, ContextTokens: q.PromptTokens})
+	return wait + readMs + q.Engine.StepOverheadMs(q.PromptTokens, 1) + q.Engine.PassMs(enginemodel.Batch{Answers: 1, ContextTokens: q.PromptTokens})
 }
 
 // lateLoss is the expected loss of a request whose first event is predicted, with
 // a slope around the target because predictions err.
 func (b *Book) lateLoss(q Query, predicted time.Duration) float64 {
 	value := b.value(q.PromptTokens)
-	target := q.Target.Seconds()
-	if target <= 0 {
+	if q.Target <= 0 {
 		return 0
 	}
-	slope := (predicted.Seconds() - b.options.TargetShare*target) / (0.1 * target)
-	late := 1 / (1 + math.Exp(-slope))
-	loss := value * b.options.LateLoss * late
+	loss := value * b.options.LateLoss * b.lateShare(predicted, q.Target)
 	if predicted > q.Remaining {
 		loss += value
 	}
-	return loss + value*0.05*predicted.Seconds()/target
+	return loss + value*0.05*predicted.Seconds()/q.Target.Seconds()
+}
+
+// lateShare is the believed chance that a first event that is predicted for a time
+// comes after the target: a slope, because predictions err.
+func (b *Book) lateShare(predicted, target time.Duration) float64 {
+	slope := (predicted.Seconds() - b.options.TargetShare*target.Seconds()) / (0.1 * target.Seconds())
+	return 1 / (1 + math.Exp(-slope))
 }
 
 // hold divides the memory of a prompt that is larger than the first server's free
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/routes"
@@ -52,6 +54,10 @@
 	lastEvent string
 	events    int
 	firstAt   time.Time
+	// eventAt is when the last event was delivered, longestGap the longest pause
+	// before one.
+	eventAt    time.Time
+	longestGap time.Duration
 }
 
 // serveCaller takes one request from a caller to its final answer.
@@ -146,8 +152,11 @@
 			e.conclude(e.core.NoServer(refusalOf(refusal, choice)))
 			return
 		}
+		e.logChoice(choice)
 		result := e.try(ctx, choice)
-		e.logTry(choice, result)
+		if !result.over {
+			e.logTry(result)
+		}
 		if result.over {
 			e.succeed()
 			return
@@ -268,17 +277,20 @@
 	e.s.counters.complete.Inc(1)
 	now := time.Now()
 	e.s.counters.whole.Update(now.Sub(e.arrived))
-	entry := e.log("", "").WithFields(logrus.Fields{"sent": e.core.Sent(), "events": e.events, "outcome": "finished"})
 	if !e.firstAt.IsZero() {
 		e.s.counters.firstByte.Update(e.firstAt.Sub(e.arrived))
-		entry = entry.WithField("firstMs", e.firstAt.Sub(e.arrived).Milliseconds())
 	}
-	entry.Info("request ended")
+	e.log("", "").WithFields(logrus.Fields{"sent": e.core.Sent(), "outcome": "finished"}).Info("request ended")
 }
 
 // log returns a line with what identifies the request.
 func (e *exchange) log(code, detail string) *logrus.Entry {
 	fields := logrus.Fields{"request": e.info.ID, "tookMs": time.Since(e.arrived).Milliseconds()}
+	if !e.firstAt.IsZero() {
+		fields["firstMs"] = e.firstAt.Sub(e.arrived).Milliseconds()
+		fields["events"] = e.events
+		fields["longestGapMs"] = e.longestGap.Milliseconds()
+	}
 	if e.route != nil {
 		fields["route"] = e.route.Name
 		fields["workspace"] = e.workspace
@@ -295,11 +307,25 @@
 	return e.s.log.WithFields(fields)
 }
 
-func (e *exchange) logTry(choice placement.Choice, result tryResult) {
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "server": choice.Server.ID, "helpers": len(choice.Helpers), "held": len(choice.Held) > 0,
-		"tokens": e.info.PromptTokens, "predictedMs": choice.Predicted.Milliseconds(), "loss": choice.Loss, "try": e.core.Sent(),
-		"result": result.Kind.String(), "cause": string(result.Refusal.Code), "detail": result.Refusal.Detail,
-		"serverRevision": choice.Server.Revision, "lastEvent": e.lastEvent}).Info("try ended")
+// logChoice tells why the request goes where it goes.
+func (e *exchange) logChoice(choice placement.Choice) {
+	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "route": e.route.Name, "service": e.service.Name, "server": choice.Server.ID,
+		"serverRevision": choice.Server.Revision, "helpers": serverIDs(choice.Helpers), "held": choice.Held, "tokens": e.info.PromptTokens,
+		"predictedMs": choice.Predicted.Milliseconds(), "loss": math.Round(choice.Loss*100) / 100, "sentBefore": e.core.Sent(),
+		"waitedMs": time.Since(e.arrived).Milliseconds(), "configuration": e.table.Version(), "lastEvent": e.lastEvent}).Info("server chosen")
+}
+
+func (e *exchange) logTry(result tryResult) {
+	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
+		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.events, "lastEvent": e.lastEvent}).Info("try ended")
+}
+
+func serverIDs(servers []directory.Server) []string {
+	ids := make([]string, 0, len(servers))
+	for _, server := range servers {
+		ids = append(ids, server.ID)
+	}
+	return ids
 }
 
 func (s *Server) random01() float64 {
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -108,9 +108,13 @@
 	if ev.id != "" {
 		e.lastEvent = ev.id
 	}
+	now := time.Now()
 	if e.events == 0 {
-		e.firstAt = time.Now()
+		e.firstAt = now
+	} else {
+		e.longestGap = max(e.longestGap, now.Sub(e.eventAt))
 	}
+	e.eventAt = now
 	e.events++
 	return nil
 }
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -160,6 +160,7 @@
 	d := placement.Dispatch{ID: e.s.dispatchID(), Server: choice.Server.ID, Held: choice.Held, Life: time.Until(e.deadline)}
 	if e.service.Engine != nil {
 		d.PromptTokens, d.AnswerTokens, d.Gap = e.info.PromptTokens, e.answerTokens(), e.route.EventGap
+		d.Target = max(e.route.Target-time.Since(e.arrived), time.Millisecond)
 	}
 	for _, helper := range choice.Helpers {
 		d.Helpers = append(d.Helpers, helper.ID)
