--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -237,6 +237,9 @@
 	// loss counts for the server that writes the answer, helperLoss for one
 	// that only reads.
 	loss, helperLoss float64
+	// order ranks the servers: it also counts the wait there, which the whole
+	// choice counts once.
+	order float64
 }
 
 // rank orders servers by what a read there would cost.
@@ -244,16 +247,17 @@
 	all := make([]ranked, 0, len(candidates))
 	for i, c := range candidates {
 		slowed := readMs * c.state.trust.slowness()
-		helper := c.loss + b.harm(c, slowed) + b.waitLoss(q, c, readMs)
+		helper := c.loss + b.harm(c, slowed)
 		if split {
 			helper += b.delayLoss(now, c, slowed)
 		}
 		// The tie-break turns the order of equal servers round by a random
 		// place.
 		tie := math.Mod(float64(i)/float64(len(candidates))+q.Tie, 1) * tieLoss
-		all = append(all, ranked{c, helper + b.joinLoss(c, q) + tie, helper + tie})
+		order := helper + b.waitLoss(q, c, readMs) + tie
+		all = append(all, ranked{c, helper + b.joinLoss(c, q), helper, order})
 	}
-	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.helperLoss, b.helperLoss) })
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.order, b.order) })
 	return all
 }
 
@@ -274,7 +278,7 @@
 		if r.free < need {
 			continue
 		}
-		if best < 0 || r.loss < all[best].loss {
+		if best < 0 || r.order+r.loss-r.helperLoss < all[best].order+all[best].loss-all[best].helperLoss {
 			best = i
 		}
 	}
