--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -82,6 +82,8 @@
 	Predicted time.Duration
 	// Loss is the expected loss of the request and of others, for the log.
 	Loss float64
+	// Wait asks to choose again after this time in place of sending now.
+	Wait time.Duration
 }
 
 // Refusal is why there is no choice.
@@ -304,20 +306,37 @@
 }
 
 // joinLoss is the cost of writing the answer here: full slots, and the gain of
-// packing short answers.
+// packing it beside answers that bear pauses alike. Packed answers leave whole
+// servers to the reading of long prompts.
 func (b *Book) joinLoss(c *candidate, q Query) float64 {
 	slots := float64(q.Engine.Slots)
 	share := float64(c.requests) / slots
 	if share >= 1 {
 		return b.value(q.PromptTokens) * share
 	}
-	if q.PromptTokens > b.options.ShortTokens {
-		return b.options.PackGain * float64(c.batch.Answers)
+	alike, others := 0, 0
+	for _, w := range c.state.works {
+		switch {
+		case w.index != 0:
+		case bearsAlike(w.dispatch.Gap, q.Gap):
+			alike++
+		default:
+			others++
+		}
 	}
-	if share < b.options.PackShare {
-		return -b.options.PackGain * float64(c.batch.Answers)
+	gain := b.options.PackGain * b.value(q.PromptTokens)
+	if share >= b.options.PackShare {
+		return gain * float64(c.requests)
 	}
-	return b.options.PackGain * float64(c.requests)
+	return gain * float64(others-alike)
+}
+
+// alikeFactor is how far the pauses that two answers bear may lie apart for them
+// to be packed together.
+const alikeFactor = 2
+
+func bearsAlike(a, b time.Duration) bool {
+	return a <= alikeFactor*b && b <= alikeFactor*a
 }
 
 // waitLoss spreads equal choices by what waits there.
