Tune placement in virtual time, hold late prompts back until they cost others little

Cause: prompts that were late anyway were sent at once and made others late; packing stopped at 0.6 of the slots and spread short answers over the servers of long reads. Also: a row removed after a platform's return is believed at once; the grace is for rows that were missing in the first list (a server left 14.3 s, an entry that had been cut off until 13 s kept it until 16.5 s: DRAIN). Change: PackShare 0.9, TargetShare 1, WaitLateShare 0.02, MemoryShare 0.9.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -109,17 +109,6 @@
 	return Change{id, known.Service, stateOf(known.Server), "gone", "removed", revision}, true
 }
 
-// Lapse takes in that a row was removed just after an outage of the platform. Rows
-// lapse while the platform is away although their servers live, and such a server
-// writes its row again within ReturnGrace; until then it is believed to live,
-// because every server would be dropped at once otherwise.
-func (d *Directory) Lapse(now time.Time, id string, revision uint64) {
-	known := d.entries[id]
-	if known != nil && known.Revision <= revision && known.missingSince.IsZero() {
-		known.missingSince = now
-	}
-}
-
 // Replace takes in a whole list, read at a revision. afterOutage says that the
 // platform was away before: rows that are missing are then given ReturnGrace.
 func (d *Directory) Replace(now time.Time, servers []Server, revision uint64, afterOutage bool) []Change {
--- a/core/enginemodel/batcher.go
+++ b/core/enginemodel/batcher.go
@@ -104,16 +104,29 @@
 	r.read, r.released = false, r.Parts == 1
 }
 
-// Release tells that all parts of a divided prompt are read.
-func (b *Batcher) Release(now float64, id string) {
+// Release tells that all parts of a divided prompt are read. The first token
+// follows at once.
+func (b *Batcher) Release(now float64, id string) []Notice {
+	var notices []Notice
 	for _, r := range b.active {
 		if r.ID == id && !r.Helping {
 			r.released = true
+			notices = append(notices, r.firstToken()...)
 		}
 	}
 	if b.passEnd < 0 {
 		b.begin(now)
 	}
+	return notices
+}
+
+// firstToken gives the first event, which holds one token, once all is read.
+func (r *running) firstToken() []Notice {
+	if !r.read || !r.released || r.events > 0 {
+		return nil
+	}
+	r.events, r.written = 1, 1
+	return []Notice{{ID: r.ID, Kind: Wrote, Step: 1}}
 }
 
 // Cancel ends a job; the pass under way goes on.
@@ -136,7 +149,9 @@
 		notices = append(notices, Notice{ID: r.ID, Kind: PartRead})
 		if r.Helping {
 			b.drop(r)
+			continue
 		}
+		notices = append(notices, r.firstToken()...)
 	}
 	for _, r := range b.writers {
 		r.events++
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -33,23 +33,26 @@
 	// GapMargin is kept free of the expected pause between events, for the
 	// network and for what this entry has not heard of yet.
 	GapMargin time.Duration
-	// TargetShare is the share of the target for the first event that a
-	// prediction may use before it counts as half late.
+	// TargetShare is the share of the target for the first event at which a
+	// prediction counts as half late.
 	TargetShare float64
 	// ReserveAbove is the share of an engine's memory above which a prompt is
 	// spread over reservations.
 	MemoryShare float64
 	// MaxParts bounds the servers that read one prompt.
 	MaxParts int
+	// WaitLateShare is how much others may lose by a prompt that is late anyway,
+	// as a share of its value; while they would lose more it waits.
+	WaitLateShare float64
 	// NetworkTime is a connection's opening and the way there and back.
 	NetworkTime time.Duration
 }
 
 // DefaultOptions returns the options of an entry in a zone.
 func DefaultOptions(zone string) Options {
-	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.6,
-		ShortTokens: 24000, GapMargin: 25 * time.Millisecond, TargetShare: 0.85, MemoryShare: 0.95, MaxParts: 16,
-		NetworkTime: 6 * time.Millisecond}
+	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.9,
+		ShortTokens: 24000, GapMargin: 25 * time.Millisecond, TargetShare: 1, MemoryShare: 0.9, MaxParts: 16,
+		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02}
 }
 
 // Query is a request that needs a server.
@@ -84,6 +87,8 @@
 	Loss float64
 	// Wait asks to choose again after this time in place of sending now.
 	Wait time.Duration
+	// others is the part of Loss that other requests bear.
+	others float64
 }
 
 // Refusal is why there is no choice.
@@ -132,9 +137,35 @@
 	if refusal == "" && best.Predicted > q.Remaining {
 		return best, TooLate
 	}
+	if refusal == "" {
+		best.Wait = b.waitFor(best, q)
+	}
 	return best, refusal
 }
 
+// waitFor holds a prompt back at the entry while others would lose too much by its
+// read. A prompt that can still be in time goes unless others lose more than it
+// does by being late; one that is late anyway waits for a moment at which it costs
+// hardly anything, as long as enough of its time is left.
+func (b *Book) waitFor(best Choice, q Query) time.Duration {
+	next := best.Predicted + waitInterval
+	if q.PromptTokens <= b.options.ShortTokens || next > q.Remaining*3/4 {
+		return 0
+	}
+	share := b.options.LateLoss
+	if next > q.Target {
+		share = b.options.WaitLateShare
+	}
+	if best.others > share*b.value(q.PromptTokens) {
+		return waitInterval
+	}
+	return 0
+}
+
+// waitInterval is how long a request that waits at the entry lets pass before it
+// chooses again.
+const waitInterval = 50 * time.Millisecond
+
 // minPartTokens is the smallest part that a prompt is divided into: below it the
 // steps of its chunks and the hand-over cost more than the reading.
 const minPartTokens = 4000
@@ -204,7 +235,7 @@
 		return Choice{}, false
 	}
 	chosen := []*candidate{ranked[first].candidate}
-	loss := ranked[first].loss
+	loss, others := ranked[first].loss, ranked[first].helperLoss
 	for i, r := range ranked {
 		if len(chosen) == parts {
 			break
@@ -212,13 +243,14 @@
 		if i != first {
 			chosen = append(chosen, r.candidate)
 			loss += r.helperLoss
+			others += r.helperLoss
 		}
 	}
 	held, ok := b.hold(chosen, q)
 	if !ok {
 		return Choice{}, false
 	}
-	choice := Choice{Server: chosen[0].Server, Held: held}
+	choice := Choice{Server: chosen[0].Server, Held: held, others: others}
 	slowest := 0.0
 	for _, c := range chosen {
 		slowest = max(slowest, b.firstEventMs(c, q, readMs))
@@ -377,7 +409,7 @@
 	if c.batch.Answers > 0 {
 		return wait + c.passMs/2 + c.passMs + readMs
 	}
-	return wait + readMs + q.Engine.StepOverheadMs(q.PromptTokens, 1) + q.Engine.PassMs(enginemodel.Batch{Answers: 1, ContextTokens: q.PromptTokens})
+	return wait + readMs + q.Engine.StepOverheadMs(q.PromptTokens, 1)
 }
 
 // lateLoss is the expected loss of a request whose first event is predicted, with
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -152,6 +152,14 @@
 			e.conclude(e.core.NoServer(refusalOf(refusal, choice)))
 			return
 		}
+		if choice.Wait > 0 {
+			e.wait(ctx, choice.Wait)
+			if ctx.Err() == nil {
+				continue
+			}
+			e.conclude(e.core.GiveUp(e.endedRefusal(ctx), false))
+			return
+		}
 		e.logChoice(choice)
 		result := e.try(ctx, choice)
 		if !result.over {
@@ -179,6 +187,17 @@
 	}
 }
 
+// wait holds the request back at the entry, until its time has passed or its
+// caller has left.
+func (e *exchange) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // answerMargin is kept free of the time that a request has left, for the way back.
 const answerMargin = 20 * time.Millisecond
 
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -96,9 +96,6 @@
 	away := !s.storeLost.IsZero()
 	first := s.storeFine.IsZero()
 	s.storeFine, s.storeLost = now, time.Time{}
-	if away {
-		s.lapseUntil = now.Add(directory.DefaultReturnGrace)
-	}
 	s.mu.Unlock()
 	if first || away {
 		s.log.Info("reached the metadata store")
@@ -150,12 +147,7 @@
 			noted = append(noted, change)
 		}
 	}
-	now := time.Now()
 	for _, removal := range changes.Removed {
-		if now.Before(s.lapseUntil) {
-			s.directory.Lapse(now, removal.ID, removal.Revision)
-			continue
-		}
 		if change, ok := s.directory.Remove(removal.ID, removal.Revision); ok {
 			noted = append(noted, change)
 		}
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -66,12 +66,10 @@
 	revision  uint64
 	storeFine time.Time // the last success of a call to the store
 	storeLost time.Time // the first failure since then, zero if none
-	// lapseUntil is how long rows that are removed may come back.
-	lapseUntil time.Time
-	book       *placement.Book
-	budgets    map[string]*execution.RetryBudget
-	random     *rand.Rand
-	pause      *membership.PauseDetector
+	book      *placement.Book
+	budgets   map[string]*execution.RetryBudget
+	random    *rand.Rand
+	pause     *membership.PauseDetector
 }
 
 type counters struct {
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -100,14 +100,19 @@
 	if ctx.Err() == nil {
 		return result
 	}
-	result.Refusal = execution.Refusal{Code: codeTimeout, Detail: "the request's time has passed", RetryAfter: time.Second}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		result.Refusal = execution.Refusal{Code: execution.CodeCallerGone}
-	}
+	result.Refusal = e.endedRefusal(ctx)
 	result.conclusion = e.core.GiveUp(result.Refusal, kind != execution.ForwardUnsent && kind != execution.ForwardNotExecuted)
 	return result
 }
 
+// endedRefusal says why a request's context is over.
+func (e *exchange) endedRefusal(ctx context.Context) execution.Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return execution.Refusal{Code: execution.CodeCallerGone}
+	}
+	return execution.Refusal{Code: codeTimeout, Detail: "the request's time has passed", RetryAfter: time.Second}
+}
+
 // upstream builds the request for a server. Method, path, query and body are the
 // caller's to the letter.
 func (e *exchange) upstream(ctx context.Context, choice placement.Choice, reservation *reservation) *http.Request {
--- a/proof/forwarding/day.go
+++ b/proof/forwarding/day.go
@@ -24,7 +24,8 @@
 	// LateFirst and LateGap divide the late ones by what was late first.
 	LateFirst, LateGap int
 	Owed, Earned       float64
-	FirstMs            []float64
+	// FirstMs is the times to the first event, Longest the longest pauses.
+	FirstMs, Longest []float64
 }
 
 // Result is a day's outcome by class.
@@ -43,8 +44,10 @@
 }
 
 type day struct {
-	site    *Site
-	random  *rand.Rand
+	site   *Site
+	random *rand.Rand
+	// ties is apart from random, so that all policies see the same callers.
+	ties    *rand.Rand
 	now     float64
 	queue   events
 	entries []*placement.Book
@@ -99,7 +102,7 @@
 
 // Play plays one day with the options of the entries' placement.
 func Play(site Site, seed uint64, options placement.Options) *Result {
-	d := &day{site: &site, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*enginemodel.Batcher{},
+	d := &day{site: &site, random: rand.New(rand.NewPCG(seed, 1)), ties: rand.New(rand.NewPCG(seed, 2)), engines: map[string]*enginemodel.Batcher{},
 		open: map[string]*request{}, result: &Result{Classes: make([]Outcome, len(site.Classes))}}
 	for i := range site.Entries {
 		options.Zone = zoneName(i % site.Zones)
@@ -196,7 +199,7 @@
 	book := d.entries[r.entry]
 	waited := enginemodel.Millis(d.now - r.arrived)
 	query := placement.Query{Servers: d.listed, Engine: &d.site.Engine, Exclude: r.excluded, PromptTokens: r.prompt, AnswerTokens: r.hint,
-		Target: max(r.class.Target-waited, time.Millisecond), Gap: r.class.Gap, Remaining: r.class.Deadline - waited, Tie: d.random.Float64()}
+		Target: max(r.class.Target-waited, time.Millisecond), Gap: r.class.Gap, Remaining: r.class.Deadline - waited, Tie: d.ties.Float64()}
 	choice, refusal := book.Choose(d.clock(), query)
 	if refusal != "" {
 		d.leave(r)
@@ -314,7 +317,11 @@
 	case enginemodel.PartRead:
 		r.partsDue--
 		if r.partsDue == 0 {
-			d.drive(r.choice.Server.ID, func(b *enginemodel.Batcher) { b.Release(d.now, r.id) })
+			var released []enginemodel.Notice
+			d.drive(r.choice.Server.ID, func(b *enginemodel.Batcher) { released = b.Release(d.now, r.id) })
+			for _, notice := range released {
+				d.notice(notice)
+			}
 		}
 	case enginemodel.Wrote:
 		d.at(d.now+backMs, func() { d.wrote(r) })
@@ -344,6 +351,7 @@
 	d.end(r)
 	full, late := r.class.worth(float64(r.prompt))
 	r.outcome.FirstMs = append(r.outcome.FirstMs, r.firstMs)
+	r.outcome.Longest = append(r.outcome.Longest, r.longest)
 	switch {
 	case r.firstMs > float64(r.class.Target.Milliseconds()):
 		r.outcome.Late++
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -27,6 +27,7 @@
 			t.Owed += c.Owed
 			t.Earned += c.Earned
 			t.FirstMs = append(t.FirstMs, c.FirstMs...)
+			t.Longest = append(t.Longest, c.Longest...)
 		}
 	}
 	return total
@@ -50,6 +51,8 @@
 	return sum(results)
 }
 
+func sortFloats(values []float64) { slices.Sort(values) }
+
 func BenchmarkLoads(b *testing.B) {
 	seeds := 40
 	for _, load := range []float64{0.3, 0.8, 1, 1.3} {
--- /dev/null
+++ b/proof/forwarding/tuning_test.go
@@ -0,0 +1,58 @@
+package forwarding
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"arbutusdeck/core/placement"
+)
+
+// BenchmarkTuning plays variants of the options that ARBUTUS_TUNING names, as in
+// "PackGain=0.01;PackGain=0.02,PackShare=0.5", beside the defaults.
+func BenchmarkTuning(b *testing.B) {
+	const seeds = 100
+	for _, variant := range append([]string{""}, strings.Split(os.Getenv("ARBUTUS_TUNING"), ";")...) {
+		options := placement.DefaultOptions("")
+		if err := vary(&options, variant); err != nil {
+			b.Fatal(err)
+		}
+		line := fmt.Sprintf("%-40s", variant)
+		mean := 0.0
+		for _, load := range []float64{0.7, 1, 1.2} {
+			total := playSeeds(Zagara(load), seeds, options)
+			mean += total.Worth() / 3
+			line += fmt.Sprintf("  %.1f: %.4f", load, total.Worth())
+			for _, c := range total.Classes {
+				line += fmt.Sprintf(" %.3f", c.Earned/c.Owed)
+			}
+		}
+		fmt.Fprintf(os.Stderr, "tuning %s mean %.4f\n", line, mean)
+	}
+}
+
+func vary(options *placement.Options, variant string) error {
+	for _, setting := range strings.Split(variant, ",") {
+		name, text, ok := strings.Cut(strings.TrimSpace(setting), "=")
+		if !ok {
+			continue
+		}
+		field := reflect.ValueOf(options).Elem().FieldByName(name)
+		if !field.IsValid() {
+			return fmt.Errorf("no option is named %q", name)
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("%s: %w", setting, err)
+		}
+		if field.CanFloat() {
+			field.SetFloat(value)
+			continue
+		}
+		field.SetInt(int64(value))
+	}
+	return nil
+}
