--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -51,7 +51,7 @@
 // DefaultOptions returns the options of an entry in a zone.
 func DefaultOptions(zone string) Options {
 	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.9,
-		ShortTokens: 24000, GapMargin: 25 * time.Millisecond, TargetShare: 1, MemoryShare: 0.9, MaxParts: 16,
+		ShortTokens: 24000, GapMargin: 25 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, MaxParts: 16,
 		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02}
 }
 
