--- /dev/null
+++ b/core/execution/forward_test.go
@@ -0,0 +1,139 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var forwardStart = time.Unix(1000, 0)
+
+func forward(repeat Repeat, attempts int, retries *int) *Forward {
+	return NewForward(ForwardOptions{Repeat: repeat, MaxAttempts: attempts, Deadline: forwardStart.Add(10 * time.Second),
+		TakeRetry: func(time.Time) bool {
+			*retries--
+			return *retries >= 0
+		}})
+}
+
+func broken(server string) ForwardResult {
+	return ForwardResult{Server: server, Kind: ForwardBroken, Refusal: Refusal{Code: CodeConnectionLost}}
+}
+
+// The caller of an order gets an error that promises nothing, at once. Its one try
+// was sent and the connection broke before an answer; a second one could charge a
+// pensioner twice, and "not run" could be false.
+func TestAnOrderThatMayHaveRunIsNeitherRepeatedNorCalledNotRun(t *testing.T) {
+	retries := 5
+	f := forward(Never, 3, &retries)
+	f.Sending()
+	step := f.Ended(forwardStart, broken("a"))
+	require.False(t, step.Again)
+	require.Equal(t, Unknown, step.Conclusion.Outcome)
+	require.Equal(t, 5, retries, "no retry was taken from the budget")
+}
+
+func TestWhatAServerSaysItDidNotRunMayGoElsewhere(t *testing.T) {
+	retries := 5
+	f := forward(Never, 2, &retries)
+	f.Sending()
+	require.True(t, f.Ended(forwardStart, ForwardResult{Server: "a", Kind: ForwardNotExecuted, Refusal: Refusal{Code: CodeQueueFull}}).Again)
+	require.Equal(t, []string{"a"}, f.Excluded())
+	f.Sending()
+	step := f.Ended(forwardStart, ForwardResult{Server: "b", Kind: ForwardNotExecuted, Refusal: Refusal{Code: CodeQueueFull}})
+	require.False(t, step.Again, "it was sent to as many servers as its route allows")
+	require.Equal(t, NotRun, step.Conclusion.Outcome)
+}
+
+// Two workers refuse, one after the other, and the budget of retries is empty: the
+// caller is told at once that nothing ran.
+func TestAnEmptyBudgetEndsTheRequest(t *testing.T) {
+	retries := 0
+	f := forward(Always, 5, &retries)
+	f.Sending()
+	step := f.Ended(forwardStart, ForwardResult{Server: "a", Kind: ForwardNotExecuted})
+	require.Equal(t, NotRun, step.Conclusion.Outcome)
+}
+
+func TestAServerThatCanNotBeReachedCostsNoAttempt(t *testing.T) {
+	retries := 0
+	f := forward(Never, 1, &retries)
+	require.True(t, f.Ended(forwardStart, ForwardResult{Server: "a", Kind: ForwardUnsent}).Again)
+	require.True(t, f.Ended(forwardStart, ForwardResult{Server: "b", Kind: ForwardUnsent}).Again)
+	step := f.Ended(forwardStart, ForwardResult{Server: "c", Kind: ForwardUnsent, Refusal: Refusal{Code: CodeConnectionLost}})
+	require.Equal(t, NotRun, step.Conclusion.Outcome)
+}
+
+func TestAnIdempotentFailureIsRepeatedAndThenHandedOn(t *testing.T) {
+	retries := 5
+	f := forward(Always, 2, &retries)
+	f.Sending()
+	require.True(t, f.Ended(forwardStart, ForwardResult{Server: "a", Kind: ForwardFailed, Answer: true}).Again)
+	f.Sending()
+	require.True(t, f.Ended(forwardStart, ForwardResult{Server: "b", Kind: ForwardFailed, Answer: true}).UseAnswer)
+}
+
+// A stream breaks after its third event. A resumable one goes on elsewhere; one
+// that is only idempotent must not be begun anew, because its caller would get the
+// pieces of two runs.
+func TestADeliveredPartForbidsAFreshRunButNotAResumedOne(t *testing.T) {
+	for repeat, again := range map[Repeat]bool{Resumable: true, Always: false, Never: false} {
+		retries := 5
+		f := forward(repeat, 2, &retries)
+		f.Sending()
+		result := broken("a")
+		result.Delivered = true
+		require.Equal(t, again, f.Ended(forwardStart, result).Again, repeat)
+	}
+}
+
+func TestNothingIsTriedPastTheDeadline(t *testing.T) {
+	retries := 5
+	f := forward(Always, 5, &retries)
+	require.NotNil(t, f.Ended(forwardStart.Add(time.Minute), ForwardResult{Server: "a", Kind: ForwardUnsent}).Conclusion)
+}
+
+// Whatever the order of results: "not run" is said only if no try that was sent
+// ended without the server's word that it did not run it.
+func TestNotRunIsAlwaysTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		retries := rapid.IntRange(0, 5).Draw(t, "retries")
+		repeat := rapid.SampledFrom([]Repeat{Never, Always, Resumable}).Draw(t, "repeat")
+		f := forward(repeat, rapid.IntRange(1, 4).Draw(t, "attempts"), &retries)
+		mayHaveRun := 0
+		for {
+			kind := rapid.SampledFrom([]ForwardKind{ForwardUnsent, ForwardNotExecuted, ForwardFailed, ForwardBroken}).Draw(t, "kind")
+			if kind != ForwardUnsent {
+				f.Sending()
+			}
+			if kind == ForwardFailed || kind == ForwardBroken {
+				mayHaveRun++
+			}
+			step := f.Ended(forwardStart, ForwardResult{Server: "s", Kind: kind})
+			if step.Again {
+				continue
+			}
+			if step.Conclusion != nil && step.Conclusion.Outcome == NotRun && mayHaveRun > 0 {
+				t.Fatal("called not run although a try may have run")
+			}
+			if repeat == Never && mayHaveRun > 1 {
+				t.Fatal("ran twice")
+			}
+			return
+		}
+	})
+}
+
+func TestTheRefilledBudgetBoundsAWindow(t *testing.T) {
+	b := NewRefilledRetryBudget(0, 5, 0.5)
+	taken := 0
+	for ms := range 10_000 {
+		if b.Take(forwardStart.Add(time.Duration(ms) * time.Millisecond)) {
+			taken++
+		}
+	}
+	require.GreaterOrEqual(t, taken, 9)
+	require.LessOrEqual(t, taken, 10, "the burst and ten seconds of refill")
+}
