--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -297,28 +297,39 @@
 
 const tieLoss = 0.002
 
-// pickFirst returns the place of the server that writes the answer, -1 if none
-// has the memory.
+// pickFirst returns the place of the server that writes the answer: the best one
+// that has the memory for all of it. A prompt that is larger than any server's
+// memory is spread over reservations by the best one. It returns -1 if a prompt that
+// would fit an empty server fits none now: spread as well, it would keep memory from
+// prompts that are read at less cost.
 func (b *Book) pickFirst(all []ranked, q Query, parts int) int {
 	need := q.PromptTokens + q.AnswerTokens
-	if need > int64(b.options.MemoryShare*float64(q.Engine.MemoryTokens)) {
-		need = 0 // spread over reservations, see hold
+	if need <= int64(b.options.MemoryShare*float64(q.Engine.MemoryTokens)) {
+		return bestFirst(all, need)
 	}
-	if need == 0 && parts == 1 {
+	if parts == 1 {
 		return -1
 	}
+	return bestFirst(all, 0)
+}
+
+// bestFirst returns the place of the best server with some free memory, or -1.
+func bestFirst(all []ranked, need int64) int {
 	best := -1
 	for i, r := range all {
 		if r.free < need {
 			continue
 		}
-		if best < 0 || r.order+r.loss-r.helperLoss < all[best].order+all[best].loss-all[best].helperLoss {
+		if best < 0 || r.firstOrder() < all[best].firstOrder() {
 			best = i
 		}
 	}
 	return best
 }
 
+// firstOrder ranks a server for writing the answer.
+func (r *ranked) firstOrder() float64 { return r.order + r.loss - r.helperLoss }
+
 // harm is what a read does to the answers being written: those whose pause would
 // become too long, by their value. Pauses that are too long already count no more.
 func (b *Book) harm(c *candidate, readMs float64) float64 {
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,235 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/enginemodel"
+)
+
+var start = time.Unix(1000, 0)
+
+var engine = &enginemodel.Engine{Slots: 16, MemoryTokens: 315_000, StepMs: 0.85, StepPerAnswerMs: 0.00425, StepPerContextMs: 0.00285,
+	ReadPerMs: 177, PairsMs: 0.184, Chunk: 2048, Stride: 51, UsualAnswer: 1622}
+
+func fleet(count int) []directory.Server {
+	var servers []directory.Server
+	for i := range count {
+		servers = append(servers, directory.Server{ID: fmt.Sprintf("s%02d", i), Service: "engines", Zone: "here", Slots: 16})
+	}
+	return servers
+}
+
+func newBook() *Book { return NewBook(DefaultOptions("here")) }
+
+func shortQuery(servers []directory.Server) Query {
+	return Query{Servers: servers, Engine: engine, PromptTokens: 5000, AnswerTokens: 1600, Target: 300 * time.Millisecond,
+		Gap: 250 * time.Millisecond, Remaining: 10 * time.Second}
+}
+
+func longQuery(servers []directory.Server, tokens int64) Query {
+	return Query{Servers: servers, Engine: engine, PromptTokens: tokens, AnswerTokens: 800, Target: 3 * time.Second, Gap: time.Second, Remaining: 15 * time.Second}
+}
+
+// write books an answer that a server is writing.
+func write(b *Book, id, server string, q Query) {
+	b.Begin(start, Dispatch{ID: id, Server: server, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Gap: q.Gap, Target: q.Target, Life: q.Remaining}, engine, 0)
+	b.FirstEvent(start, id)
+}
+
+func choose(t *testing.T, b *Book, q Query) Choice {
+	t.Helper()
+	choice, refusal := b.Choose(start, q)
+	require.Empty(t, refusal)
+	return choice
+}
+
+func used(choice Choice) map[string]bool {
+	ids := map[string]bool{choice.Server.ID: true}
+	for _, helper := range choice.Helpers {
+		ids[helper.ID] = true
+	}
+	return ids
+}
+
+// One worker needs 3.05 s for 154,000 tokens, past the target of 3 s even when it
+// is idle: the prompt has to be divided.
+func TestALongPromptIsDividedUntilItIsInTime(t *testing.T) {
+	choice := choose(t, newBook(), longQuery(fleet(16), 154_000))
+	require.Greater(t, len(choice.Helpers), 1)
+	require.Less(t, choice.Predicted, 2*time.Second)
+	require.Empty(t, choice.Held, "one server holds it")
+	require.Len(t, used(choice), len(choice.Helpers)+1, "every server reads one part")
+}
+
+func TestAShortPromptIsNotDivided(t *testing.T) {
+	require.Empty(t, choose(t, newBook(), shortQuery(fleet(16))).Helpers)
+}
+
+// A gloss is being written on three of sixteen servers. An anthology's parts there
+// would stretch its pauses past a quarter of a second; the other thirteen are free.
+func TestPartsKeepAwayFromShortAnswers(t *testing.T) {
+	b, servers := newBook(), fleet(16)
+	for i := range 12 {
+		write(b, fmt.Sprintf("short%d", i), servers[i%3].ID, shortQuery(servers))
+	}
+	choice := choose(t, b, longQuery(servers, 220_000))
+	for i := range 3 {
+		require.NotContains(t, used(choice), servers[i].ID)
+	}
+}
+
+// Short answers are packed: the thirteenth joins those that are there in place of
+// taking a server that long prompts could be read on.
+func TestShortAnswersArePacked(t *testing.T) {
+	b, servers := newBook(), fleet(16)
+	for i := range 8 {
+		write(b, fmt.Sprintf("short%d", i), "s05", shortQuery(servers))
+	}
+	require.Equal(t, "s05", choose(t, b, shortQuery(servers)).Server.ID)
+	for i := range 8 {
+		write(b, fmt.Sprintf("more%d", i), "s05", shortQuery(servers))
+	}
+	require.NotEqual(t, "s05", choose(t, b, shortQuery(servers)).Server.ID, "its slots are taken")
+}
+
+func TestAShortPromptAvoidsAServerThatReads(t *testing.T) {
+	b, servers := newBook(), fleet(2)
+	b.Begin(start, Dispatch{ID: "long", Server: "s00", PromptTokens: 154_000, AnswerTokens: 800, Gap: time.Second, Target: 3 * time.Second, Life: 15 * time.Second}, engine, 0)
+	require.Equal(t, "s01", choose(t, b, shortQuery(servers)).Server.ID)
+}
+
+// 500,000 tokens fit no single server: they are held in reservations that together
+// have the room, and none of them is larger than a server's memory.
+func TestAPromptLargerThanAServerIsHeldInReservations(t *testing.T) {
+	q := longQuery(fleet(16), 500_000)
+	choice := choose(t, newBook(), q)
+	require.Len(t, choice.Held, len(choice.Helpers)+1)
+	sum := int64(0)
+	for _, tokens := range choice.Held {
+		require.LessOrEqual(t, tokens, engine.MemoryTokens)
+		sum += tokens
+	}
+	require.Equal(t, q.PromptTokens+q.AnswerTokens, sum)
+	require.Less(t, choice.Predicted, 3*time.Second)
+
+	_, refusal := newBook().Choose(start, longQuery(fleet(1), 500_000))
+	require.Equal(t, NoMemory, refusal)
+}
+
+// An engine reads the newest part first, so a part sent now makes the prompts that
+// wait there late by its whole reading time.
+func TestPartsKeepAwayFromPromptsThatWouldBecomeLate(t *testing.T) {
+	b, servers := newBook(), fleet(4)
+	for i := range 2 {
+		id := fmt.Sprintf("waiting%d", i)
+		b.Begin(start, Dispatch{ID: id, Server: servers[i].ID, Helpers: []string{servers[1-i].ID}, PromptTokens: 150_000,
+			AnswerTokens: 800, Gap: time.Second, Target: 3 * time.Second, Life: 15 * time.Second}, engine, 0)
+	}
+	choice := choose(t, b, longQuery(servers, 200_000))
+	require.NotContains(t, used(choice), "s00")
+	require.NotContains(t, used(choice), "s01")
+}
+
+// Both servers write a long answer, and a read of 140,000 tokens would make it
+// pause for too long. A prompt that is late anyway waits at the entry, as long as
+// three quarters of its time allow it.
+func TestALatePromptWaitsWhileItWouldCostOthersMuch(t *testing.T) {
+	b, servers := newBook(), fleet(2)
+	for i, server := range servers {
+		write(b, fmt.Sprintf("w%d", i), server.ID, longQuery(servers, 100_000))
+	}
+	q := longQuery(servers, 140_000)
+	q.Target = time.Millisecond
+	require.Positive(t, choose(t, b, q).Wait)
+	q.Remaining = 3 * time.Second
+	require.Zero(t, choose(t, b, q).Wait)
+}
+
+// The memory of both servers is taken. The prompt is refused at once: held back, it
+// would be read when its target is long past and make others late.
+func TestAPromptWithoutMemoryIsRefusedAtOnce(t *testing.T) {
+	b, servers := newBook(), fleet(2)
+	for i, server := range servers {
+		write(b, fmt.Sprintf("w%d", i), server.ID, longQuery(servers, 250_000))
+	}
+	_, refusal := b.Choose(start, longQuery(servers, 200_000))
+	require.Equal(t, NoMemory, refusal)
+}
+
+func TestWhatCanNotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	q := longQuery(fleet(1), 250_000)
+	q.Remaining = 2 * time.Second
+	_, refusal := newBook().Choose(start, q)
+	require.Equal(t, TooLate, refusal)
+}
+
+// A worker goes up and down by turns. Each failed connection in a row doubles the
+// time for which it gets nothing, so that its return does not bring it a flood.
+func TestAServerThatFlapsIsLeftAloneForLonger(t *testing.T) {
+	b, servers := newBook(), fleet(2)
+	pause := func() time.Duration { return b.servers["s00"].trust.until.Sub(start) }
+	b.Unreachable(start, "s00")
+	first := pause()
+	b.Unreachable(start, "s00")
+	require.Equal(t, 2*first, pause())
+	require.Equal(t, "s01", choose(t, b, shortQuery(servers)).Server.ID)
+	b.Unreachable(start, "s01")
+	_, refusal := b.Choose(start, shortQuery(servers))
+	require.Empty(t, refusal, "with nothing else left it is tried all the same")
+	b.Succeeded(start, "s00")
+	require.Equal(t, "s00", choose(t, b, shortQuery(servers)).Server.ID)
+}
+
+// A worker whose health answers are good fails every second request. What counts is
+// the results: others are preferred while it does, and it comes back after.
+func TestFailuresOutweighPackingAndAreForgotten(t *testing.T) {
+	b, servers := newBook(), fleet(2)
+	for range 5 {
+		b.Failed(start, "s00")
+	}
+	for i := range 4 {
+		write(b, fmt.Sprintf("short%d", i), "s00", shortQuery(servers))
+	}
+	require.Equal(t, "s01", choose(t, b, shortQuery(servers)).Server.ID)
+	later, refusal := b.Choose(start.Add(time.Minute), shortQuery(servers))
+	require.Empty(t, refusal)
+	require.Equal(t, "s00", later.Server.ID)
+}
+
+// Another entry is killed in the midst of its requests and never tells of their
+// ends: they leave the book when their time is over.
+func TestDispatchesOfADeadEntryExpire(t *testing.T) {
+	b, servers := newBook(), fleet(1)
+	write(b, "lost", "s00", shortQuery(servers))
+	require.Equal(t, 1, b.Active())
+	b.Expire(start.Add(11 * time.Second))
+	require.Zero(t, b.Active())
+	require.Zero(t, b.servers["s00"].memoryUsed())
+}
+
+func TestAPausedProcessForgetsLoads(t *testing.T) {
+	b := newBook()
+	write(b, "old", "s00", shortQuery(fleet(1)))
+	b.Awoke()
+	require.Zero(t, b.Active())
+	b.End(start, "old")
+	b.FirstEvent(start, "old")
+}
+
+func TestPlainRequestsGoWhereTheFewestRun(t *testing.T) {
+	b, servers := newBook(), fleet(3)
+	q := Query{Servers: servers, Remaining: time.Second}
+	for i := range 2 {
+		b.Begin(start, Dispatch{ID: fmt.Sprint(i), Server: servers[i].ID, Life: time.Second}, nil, 0)
+	}
+	require.Equal(t, "s02", choose(t, b, q).Server.ID)
+	q.Exclude = []string{"s02"}
+	require.NotEqual(t, "s02", choose(t, b, q).Server.ID)
+	_, refusal := b.Choose(start, Query{})
+	require.Equal(t, NoServer, refusal)
+}
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -149,7 +149,9 @@
 		now := time.Now()
 		choice, refusal := e.choose(now)
 		if refusal != "" {
-			e.conclude(e.core.NoServer(refusalOf(refusal, choice)))
+			cause := refusalOf(refusal, choice)
+			cause.RetryAfter = e.spread(cause.RetryAfter)
+			e.conclude(e.core.NoServer(cause))
 			return
 		}
 		if choice.Wait > 0 {
@@ -223,6 +225,12 @@
 	return e.info.MaxAnswerTokens
 }
 
+// spread draws a time around the given one. Callers that are refused together would
+// otherwise come back together and be refused again.
+func (e *exchange) spread(after time.Duration) time.Duration {
+	return time.Duration(float64(after) * (0.75 + 0.5*e.s.random01()))
+}
+
 // refusalOf says why there is no server and when to come back: when the backlog
 // that the choice met will have been worked off.
 func refusalOf(refusal placement.Refusal, choice placement.Choice) execution.Refusal {
