--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -146,7 +146,7 @@
 	q := longQuery(servers, 140_000)
 	q.Target = time.Millisecond
 	require.Positive(t, choose(t, b, q).Wait)
-	q.Remaining = 3 * time.Second
+	q.Remaining = 1800 * time.Millisecond
 	require.Zero(t, choose(t, b, q).Wait)
 }
 
