--- /dev/null
+++ b/entry/gateway/gateway_test.go
@@ -0,0 +1,544 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"arbutusdeck/core/audit"
+	"arbutusdeck/core/config"
+	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/process"
+	"arbutusdeck/platform"
+	"arbutusdeck/platform/standin"
+)
+
+// patience bounds waits for something that has to happen.
+const patience = 20 * time.Second
+
+var nextHost atomic.Int32
+
+// loopbackHost returns a loopback host that no other test uses, so that
+// fixed ports never collide with those of the stand-ins.
+func loopbackHost() string {
+	n := nextHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%250, n)
+}
+
+type world struct {
+	t       *testing.T
+	store   *standin.Store
+	workers []*standin.Worker
+	version int
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: standin.NewStore(), version: 1}
+	t.Cleanup(func() {
+		w.store.Refuse(http.StatusServiceUnavailable)
+		w.store.CloseClientConnections()
+		w.store.Close()
+	})
+	return w
+}
+
+// worker adds a backend server. It must be set up before its row is written.
+func (w *world) worker(id, service string, script http.HandlerFunc) *standin.Worker {
+	worker := standin.NewWorker(id, service)
+	worker.Script = script
+	w.t.Cleanup(worker.Close)
+	key, row := worker.Row("ready")
+	w.store.Put(key, row)
+	w.workers = append(w.workers, worker)
+	return worker
+}
+
+func (w *world) configure(change func(map[string]any)) {
+	w.version++
+	configuration := standin.Configuration(w.version)
+	if change != nil {
+		change(configuration)
+	}
+	w.store.Put("op/config", configuration)
+}
+
+func (w *world) settings(seeds ...string) Settings {
+	host := loopbackHost()
+	return Settings{Name: "entry", Zone: "here", ListenAddress: host + ":7801", ReadyAddress: host + ":7802", PeerAddress: host + ":7803",
+		MetricsAddress: host + ":7804", Store: w.store.Address(), Seeds: seeds, MemoryMB: 200, Processors: 2,
+		StopLimit: config.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: config.Duration(10 * time.Second),
+		ReservationIdle: config.Duration(9 * time.Second)}
+}
+
+// start runs an entry until the test ends.
+func (w *world) start(settings Settings) *Server {
+	s := New(Options{Settings: settings, Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	t := &tomb.Tomb{}
+	t.Go(func() error {
+		<-t.Dying()
+		return nil
+	})
+	require.NoError(w.t, s.Start(t))
+	w.t.Cleanup(func() {
+		t.Kill(nil)
+		require.NoError(w.t, t.Wait())
+	})
+	return s
+}
+
+// serve runs an entry and waits until it is ready.
+func (w *world) serve() *Server {
+	s := w.start(w.settings())
+	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving && w.known(s) })
+	return s
+}
+
+// known says whether the entry knows all workers and the newest configuration.
+func (w *world) known(s *Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.directory.All()) == len(w.workers) && s.table.Load() != nil && s.table.Load().Version() == uint64(w.version)
+}
+
+func (w *world) eventually(what string, holds func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, holds, patience, 5*time.Millisecond, what)
+}
+
+type reply struct {
+	status    int
+	body      string
+	signature string
+	header    http.Header
+	err       error
+}
+
+var client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}
+
+func call(request *http.Request) reply {
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, string(body), standin.Signature(response), response.Header, err}
+}
+
+func (w *world) call(s *Server, method, path string, tokens int, body string) reply {
+	return call(standin.Call(s.settings.ListenAddress, method, path, fmt.Sprintf("%x", time.Now().UnixNano()), tokens, body))
+}
+
+func (w *world) runs() int {
+	count := 0
+	for _, worker := range w.workers {
+		count += len(worker.Runs())
+	}
+	return count
+}
+
+func problemOf(t *testing.T, r reply) problem {
+	var p problem
+	require.NoError(t, json.Unmarshal([]byte(r.body), &p), r.body)
+	return p
+}
+
+func TestARequestIsForwardedToTheLetter(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	worker := w.worker("i-1", "plain", nil)
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/order/a%2Fb/?x=1&y=%20", 0, "payload")
+	require.NoError(t, r.err)
+	require.Equal(t, 200, r.status)
+	require.Equal(t, "answer of i-1", r.body)
+	require.Equal(t, "signed-by-i-1", r.signature)
+	run := worker.Runs()[0]
+	require.Equal(t, []string{"POST", "/order/a%2Fb/?x=1&y=%20", "press.example", "payload", "press"},
+		[]string{run.Method, run.URI, run.Host, run.Body, run.Workspace})
+	require.NotContains(t, fmt.Sprint(run.Header), "key-1", "the API key stays here")
+	require.NotContains(t, fmt.Sprint(run.Header), "gzip", "the caller asked for no encoding")
+}
+
+func TestTheEntrysOwnRefusals(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	require.Equal(t, 404, w.call(s, http.MethodGet, "/none/", 0, "").status)
+	require.Equal(t, 413, w.call(s, http.MethodPost, "/order/", 0, strings.Repeat("x", 5000)).status)
+	unknown := call(standin.WithKey(standin.Call(s.settings.ListenAddress, http.MethodGet, "/read/", "1", 0, ""), "key-x"))
+	require.Equal(t, 401, unknown.status)
+	require.Zero(t, w.runs())
+	require.Equal(t, 503, w.call(s, http.MethodPost, "/stream/", 1000, "").status, "no server of the service is known")
+}
+
+// A starting entry knows no configuration yet. It must not say that a route or a
+// key does not exist: callers would not come back.
+func TestWithoutAConfigurationTheAnswerIsNotNow(t *testing.T) {
+	w := newWorld(t)
+	s := w.start(w.settings())
+	r := w.call(s, http.MethodGet, "/read/", 0, "")
+	require.Equal(t, 503, r.status)
+	require.Equal(t, codeNoConfiguration, problemOf(t, r).Code)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	ready, err := http.Get("http://" + s.settings.ReadyAddress + platform.ReadyPath)
+	require.NoError(t, err)
+	require.Equal(t, 503, ready.StatusCode)
+	require.NoError(t, ready.Body.Close())
+}
+
+// The caller of an order gets 502 at once. The worker ran it and the connection
+// broke before the answer; another run could charge it twice.
+func TestAnOrderWhoseAnswerIsLostRunsOnce(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for _, id := range []string{"i-1", "i-2"} {
+		w.worker(id, "plain", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	}
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/order/", 0, "once")
+	require.Equal(t, 502, r.status)
+	require.Equal(t, "unknown", problemOf(t, r).Run)
+	require.Empty(t, r.header.Get("Retry-After"))
+	require.Equal(t, 1, w.runs())
+}
+
+// One worker says that it did not run the order: it goes to the other. When both
+// say so the caller is told that nothing ran and when to come back.
+func TestAnOrderThatWasNotRunGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	first, second := w.worker("i-1", "plain", nil), w.worker("i-2", "plain", nil)
+	first.Refuse.Store(true)
+	s := w.serve()
+	for range 4 {
+		require.Equal(t, "answer of i-2", w.call(s, http.MethodPost, "/order/", 0, "x").body)
+	}
+	second.Refuse.Store(true)
+	r := w.call(s, http.MethodPost, "/order/", 0, "x")
+	require.Equal(t, 503, r.status)
+	require.Equal(t, "notRun", problemOf(t, r).Run)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Equal(t, 4, w.runs())
+}
+
+// An idempotent request meets a worker that fails, one that shortens its answer,
+// one that answers with another request's and one whose success is not signed: its
+// caller gets the whole answer of a sound one.
+func TestAnIdempotentRequestGetsAWholeAnswer(t *testing.T) {
+	for name, script := range map[string]http.HandlerFunc{
+		"fails": func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(500) },
+		"shortens": func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(out, "half")
+		},
+		"crosses": func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Set("Attempt-Id", "another")
+			_, _ = io.WriteString(out, "another's")
+		},
+		"unsigned": func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Del("Response-Signature")
+			_, _ = io.WriteString(out, "forged")
+		},
+		"encoded": func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(out, "not a body")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.configure(nil)
+			w.worker("i-bad", "plain", script)
+			w.worker("i-good", "plain", nil)
+			s := w.serve()
+			for range 5 {
+				r := w.call(s, http.MethodGet, "/read/", 0, "")
+				require.Equal(t, "answer of i-good", r.body)
+				require.Equal(t, "signed-by-i-good", r.signature)
+			}
+		})
+	}
+}
+
+// A worker breaks off in the midst of the fourth event. The caller gets events one
+// to eight once each, under the headers of the first worker.
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	breaks := func(out http.ResponseWriter, r *http.Request) {
+		stop := 0
+		if r.Header.Get("Last-Event-Id") == "" {
+			stop = 3
+		}
+		standin.Events(out, r, 8, stop)
+	}
+	w.worker("i-1", "engines", breaks)
+	w.worker("i-2", "engines", breaks)
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/stream/", 2000, "prompt")
+	require.NoError(t, r.err)
+	want := ""
+	for i := range 8 {
+		want += fmt.Sprintf("id: %d\ndata: event %d\n\n", i+1, i+1)
+	}
+	require.Equal(t, want, r.body)
+	require.Equal(t, 2, w.runs())
+	for _, worker := range w.workers {
+		for _, run := range worker.Runs() {
+			if run.LastEventID == "" {
+				require.Equal(t, "signed-by-"+worker.ID, r.signature)
+			} else {
+				require.Equal(t, "3", run.LastEventID)
+			}
+		}
+	}
+}
+
+// Both workers break the stream: the caller must see a broken answer, not one that
+// looks complete.
+func TestAStreamThatCanNotGoOnDoesNotLookComplete(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for _, id := range []string{"i-1", "i-2"} {
+		w.worker(id, "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 8, 3) })
+	}
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/stream/", 2000, "prompt")
+	require.Error(t, r.err)
+	require.NotContains(t, r.body, "half")
+	require.Equal(t, 2, w.runs())
+}
+
+// A prompt of 500,000 tokens is held in reservations at several workers, named to
+// the first one with their tickets; all memory is given back afterwards.
+func TestAHugePromptIsHeldInReservations(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for i := range 8 {
+		w.worker(fmt.Sprintf("i-%d", i), "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 2, 0) })
+	}
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/stream/", 500_000, "prompt")
+	require.Equal(t, 200, r.status, r.body)
+	reserved := int64(0)
+	for _, worker := range w.workers {
+		for _, run := range worker.Runs() {
+			require.Contains(t, run.Helpers, "/")
+			require.True(t, strings.HasPrefix(run.Helpers, worker.Address()+"/"), "its own reservation goes first")
+		}
+		for _, order := range worker.Orders() {
+			if order.Operation == "reserve" {
+				reserved += order.Tokens
+			}
+		}
+	}
+	require.Equal(t, int64(500_500), reserved)
+	w.eventually("all memory is given back", func() bool {
+		for _, worker := range w.workers {
+			if len(worker.Reserved()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// One worker refuses its part of the memory: what the others granted is given back
+// at once, and nothing is run.
+func TestRefusedMemoryIsGivenBackByAll(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for i := range 4 {
+		worker := w.worker(fmt.Sprintf("i-%d", i), "engines", nil)
+		worker.Memory = 1
+	}
+	s := w.serve()
+	r := w.call(s, http.MethodPost, "/stream/", 500_000, "prompt")
+	require.Equal(t, 503, r.status)
+	require.Zero(t, w.runs())
+	w.eventually("all memory is given back", func() bool {
+		for _, worker := range w.workers {
+			if len(worker.Reserved()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A key is taken away while its caller keeps a connection open: the next request on
+// it is refused. An older configuration that arrives late does not bring it back.
+func TestATakenKeyStaysTaken(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	require.Equal(t, 200, w.call(s, http.MethodGet, "/read/", 0, "").status)
+	w.configure(func(c map[string]any) {
+		c["Tenants"] = []map[string]any{{"Name": "press", "ApiKeys": []string{"key-2"}}}
+	})
+	w.eventually("the key is refused", func() bool { return w.call(s, http.MethodGet, "/read/", 0, "").status == 401 })
+	w.store.Put("op/config", standin.Configuration(1))
+	w.worker("i-2", "plain", nil)
+	w.eventually("the later row is known", func() bool { return w.known(s) })
+	require.Equal(t, 401, w.call(s, http.MethodGet, "/read/", 0, "").status)
+}
+
+func TestARefusedConfigurationLeavesTheLastGoodOne(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	bad := standin.Configuration(9)
+	bad["Services"] = []map[string]any{}
+	w.store.Put("op/config", bad)
+	w.worker("i-2", "plain", nil)
+	w.eventually("the later row is known", func() bool { return w.known(s) })
+	require.Equal(t, 200, w.call(s, http.MethodGet, "/read/", 0, "").status)
+}
+
+func TestALeavingServerGetsNothingMore(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	leaving := w.worker("i-1", "plain", nil)
+	w.worker("i-2", "plain", nil)
+	s := w.serve()
+	key, row := leaving.Row("draining")
+	w.store.Put(key, row)
+	w.eventually("the leaving is known", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.directory.Available("plain")) == 1
+	})
+	before := len(leaving.Runs())
+	for range 10 {
+		require.Equal(t, 200, w.call(s, http.MethodGet, "/read/", 0, "").status)
+	}
+	require.Len(t, leaving.Runs(), before)
+}
+
+// The store goes down: what is known stays in force. An entry that starts meanwhile
+// takes configuration and servers from another entry.
+func TestAStartingEntryLearnsFromItsPeersWhileTheStoreIsDown(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	first := w.serve()
+	w.store.Refuse(http.StatusServiceUnavailable)
+	second := w.start(w.settings(first.settings.PeerAddress))
+	w.eventually("the second is ready", func() bool { return second.manager.State() == lifecycle.Serving })
+	require.Equal(t, 200, w.call(first, http.MethodGet, "/read/", 0, "").status)
+	require.Equal(t, 200, w.call(second, http.MethodGet, "/read/", 0, "").status)
+}
+
+// Two entries choose for the same worker. Each has to know what the other sent
+// there, or both would take it for idle.
+func TestEntriesTellEachOtherOfTheirDispatches(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	release := make(chan struct{})
+	w.worker("i-1", "engines", func(out http.ResponseWriter, r *http.Request) {
+		<-release
+		standin.Events(out, r, 1, 0)
+	})
+	first := w.serve()
+	second := w.start(w.settings(first.settings.PeerAddress))
+	w.eventually("the second knows the worker", func() bool { return w.known(second) })
+	w.eventually("they know each other", func() bool {
+		first.peers.mu.Lock()
+		defer first.peers.mu.Unlock()
+		return len(first.peers.group.Alive(time.Now())) == 1
+	})
+	done := make(chan reply, 1)
+	go func() { done <- w.call(first, http.MethodPost, "/stream/", 2000, "x") }()
+	booked := func(count int) func() bool {
+		return func() bool {
+			second.mu.Lock()
+			defer second.mu.Unlock()
+			return second.book.Active() == count
+		}
+	}
+	w.eventually("the second has it in its book", booked(1))
+	close(release)
+	require.Equal(t, 200, (<-done).status)
+	w.eventually("the second knows that it is over", booked(0))
+}
+
+// The caller closes its connection: the worker must not go on for nobody.
+func TestACallerThatLeavesEndsTheWork(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	started, ended := make(chan struct{}), make(chan struct{})
+	w.worker("i-1", "engines", func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	s := w.serve()
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		leave()
+	}()
+	r := call(standin.Call(s.settings.ListenAddress, http.MethodPost, "/stream/", "1", 2000, "x").WithContext(ctx))
+	require.Error(t, r.err)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the worker still works")
+	}
+}
+
+// A planned stop: the balancer is told at once, a request that is open finishes,
+// and new ones on open connections are still served for a while.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	release, started := make(chan struct{}), make(chan struct{})
+	w.worker("i-1", "engines", func(out http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		standin.Events(out, r, 3, 0)
+	})
+	w.worker("i-2", "plain", nil)
+	s := w.serve()
+	done := make(chan reply, 1)
+	go func() { done <- w.call(s, http.MethodPost, "/stream/", 2000, "x") }()
+	<-started
+	s.manager.Drain()
+	ready, err := http.Get("http://" + s.settings.ReadyAddress + platform.ReadyPath)
+	require.NoError(t, err)
+	require.Equal(t, 503, ready.StatusCode)
+	require.NoError(t, ready.Body.Close())
+	require.Equal(t, 200, w.call(s, http.MethodGet, "/read/", 0, "").status)
+	close(release)
+	r := <-done
+	require.NoError(t, r.err)
+	require.Equal(t, 3, strings.Count(r.body, "data:"))
+	require.NoError(t, s.manager.Wait(t.Context(), patience))
+}
+
+func TestMetricsAreServedAsText(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	require.Equal(t, 200, w.call(s, http.MethodGet, "/read/", 0, "").status)
+	response, err := http.Get("http://" + s.settings.MetricsAddress + "/metrics")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "arbutusdeck_requests_complete 1")
+}
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -26,10 +26,9 @@
 	// flushDelay gathers the news of a moment into one datagram. A choice made
 	// within it by another entry does not know of them.
 	flushDelay = 4 * time.Millisecond
-	// maxDatagram keeps a message within one packet of a usual link, in bytes.
-	maxDatagram = 1300
-	// maxDispatches bounds the dispatches of a message so that it stays below
-	// maxDatagram; one with sixteen helpers takes some 700 bytes.
+	// maxDispatches bounds the dispatches of a message so that it stays within
+	// one packet of a usual link (1,500 bytes); one with sixteen helpers takes
+	// some 400 bytes.
 	maxDispatches = 3
 	// peerFetchTimeout bounds the fetch of another entry's view.
 	peerFetchTimeout = 1500 * time.Millisecond
