--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -243,14 +243,8 @@
 			out.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(out, "half")
 		},
-		"crosses": func(out http.ResponseWriter, _ *http.Request) {
-			out.Header().Set("Attempt-Id", "another")
-			_, _ = io.WriteString(out, "another's")
-		},
-		"unsigned": func(out http.ResponseWriter, _ *http.Request) {
-			out.Header().Del("Response-Signature")
-			_, _ = io.WriteString(out, "forged")
-		},
+		"crosses":  standin.Crossed,
+		"unsigned": standin.Unsigned,
 		"encoded": func(out http.ResponseWriter, _ *http.Request) {
 			out.Header().Set("Content-Encoding", "gzip")
 			_, _ = io.WriteString(out, "not a body")
@@ -276,13 +270,7 @@
 func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
 	w := newWorld(t)
 	w.configure(nil)
-	breaks := func(out http.ResponseWriter, r *http.Request) {
-		stop := 0
-		if r.Header.Get("Last-Event-Id") == "" {
-			stop = 3
-		}
-		standin.Events(out, r, 8, stop)
-	}
+	breaks := standin.BreaksFirst(8, 3)
 	w.worker("i-1", "engines", breaks)
 	w.worker("i-2", "engines", breaks)
 	s := w.serve()
