--- /dev/null
+++ b/proof/days/main.go
@@ -0,0 +1,80 @@
+// Command days writes days of trouble for the users' bench: each row of the table
+// mixes kinds of disruption that the standard days leave out with stops, kills,
+// changes of the configuration, taken keys and a store that can't be read.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// day is one row: planned work and faults, each as the bench writes an entry.
+type day struct {
+	name   string
+	plan   []string
+	faults []string
+}
+
+// days are the rows. Times are in seconds from the start of traffic.
+var days = []day{
+	{"slow-workers", []string{`{ at = 4.0, kind = "release", share = 0.3, x = 1.0, gap_s = 1.0 }`},
+		[]string{`{ at = 2.0, kind = "srv_slow", share = 0.3, x = 4.0, for_s = 8.0 }`, `{ at = 12.0, kind = "srv_grey", how = "slow", share = 0.3, x = 8.0, for_s = 8.0 }`,
+			`{ at = 22.0, kind = "srv_grey", how = "hang", share = 0.3, x = 0.3, for_s = 6.0 }`}},
+	{"cut-workers", []string{`{ at = 9.0, kind = "config_change", how = "weights" }`},
+		[]string{`{ at = 1.0, kind = "srv_cut", share = 0.25, for_s = 5.0 }`, `{ at = 8.0, kind = "srv_cut", how = "fronts", share = 0.3, x = 0.5, for_s = 5.0 }`,
+			`{ at = 15.0, kind = "srv_cut", how = "some one_way", share = 0.3, x = 0.4, for_s = 5.0 }`, `{ at = 22.0, kind = "srv_cut", how = "reborn", share = 0.25, for_s = 5.0 }`}},
+	{"lossy-workers", []string{`{ at = 10.0, kind = "revoke", count = 3, gap_s = 0.5 }`},
+		[]string{`{ at = 3.0, kind = "srv_cut", how = "some lossy", share = 0.4, x = 0.5, for_s = 8.0 }`, `{ at = 14.0, kind = "srv_cut", how = "reset fronts", share = 0.3, x = 0.5, for_s = 6.0 }`,
+			`{ at = 24.0, kind = "lossy", x = 0.05, for_s = 6.0 }`}},
+	{"reused-addresses", []string{`{ at = 14.0, kind = "config_change", how = "route" }`, `{ at = 18.0, kind = "scale_in", share = 0.2, how = "spot", x = 2.0 }`},
+		[]string{`{ at = 2.0, kind = "replace_with_reuse", share = 0.2 }`, `{ at = 8.0, kind = "replace_with_reuse", share = 0.2, how = "dark" }`,
+			`{ at = 16.0, kind = "replace_with_reuse", share = 0.2, how = "drain" }`, `{ at = 15.0, kind = "platform_down", how = "silent", for_s = 5.0 }`}},
+	{"clocks", []string{`{ at = 6.0, kind = "roll_term", share = 0.5, x = 1.0, gap_s = 1.0 }`, `{ at = 5.0, kind = "config_storm", for_s = 4.0, gap_s = 0.4 }`},
+		[]string{`{ at = 2.0, kind = "clock_step", x = 5000, share = 0.6, for_s = 6.0, how = "ahead" }`, `{ at = 12.0, kind = "clock_step", x = 5000, share = 0.6, for_s = 6.0, how = "back" }`,
+			`{ at = 20.0, kind = "node_freeze", share = 0.4, for_s = 3.0 }`}},
+	{"resets", []string{`{ at = 8.0, kind = "hup", share = 1.0, gap_s = 0.5 }`, `{ at = 3.0, kind = "revoke", count = 2, gap_s = 1.0 }`},
+		[]string{`{ at = 2.0, kind = "reset_conns", share = 0.6, x = 0.7 }`, `{ at = 10.0, kind = "reset_conns", share = 1.0, x = 1.0 }`,
+			`{ at = 16.0, kind = "node_cut", how = "reset", share = 0.4, for_s = 5.0 }`, `{ at = 24.0, kind = "reset_conns", share = 0.5, x = 0.5 }`}},
+	{"slow-hosts", []string{`{ at = 5.0, kind = "big_config", count = 400 }`, `{ at = 15.0, kind = "scale_out", share = 0.4, gap_s = 1.0 }`},
+		[]string{`{ at = 2.0, kind = "node_slow", share = 0.5, x = 5.0, for_s = 8.0 }`, `{ at = 14.0, kind = "node_slow", share = 0.5, x = 10.0, for_s = 5.0 }`,
+			`{ at = 22.0, kind = "burst", x = 2.0, for_s = 4.0 }`}},
+	{"store", []string{`{ at = 3.0, kind = "release", share = 0.4, x = 1.0, gap_s = 1.0 }`, `{ at = 17.0, kind = "config_change", how = "tenant" }`, `{ at = 24.0, kind = "revoke", count = 2, gap_s = 1.0, how = "last" }`},
+		[]string{`{ at = 2.0, kind = "platform_down", how = "lapse busy", for_s = 5.0 }`, `{ at = 12.0, kind = "platform_compact", x = 5.0, for_s = 6.0, how = "drain" }`,
+			`{ at = 20.0, kind = "platform_slow", x = 100.0, for_s = 4.0 }`, `{ at = 26.0, kind = "platform_down", how = "nodes reset revoke meet", share = 0.5, for_s = 5.0 }`}},
+	{"store-silent", []string{`{ at = 4.0, kind = "scale_in", share = 0.2 }`, `{ at = 5.0, kind = "roll_term", share = 0.6, gap_s = 1.0 }`, `{ at = 20.0, kind = "roll_term", how = "busy", gap_s = 1.0 }`},
+		[]string{`{ at = 2.0, kind = "platform_down", how = "silent lapse", for_s = 6.0 }`, `{ at = 12.0, kind = "core_cut", count = 3, for_s = 5.0 }`,
+			`{ at = 19.0, kind = "platform_lost", x = 0.5, for_s = 5.0 }`}},
+	{"kills", []string{`{ at = 6.0, kind = "config_change", how = "timeout" }`, `{ at = 16.0, kind = "config_change", how = "idle" }`},
+		[]string{`{ at = 3.0, kind = "herd_kill", share = 0.8 }`, `{ at = 10.0, kind = "after_ack_kill", for_s = 2.0 }`, `{ at = 15.0, kind = "herd_kill", share = 1.0, how = "power", for_s = 1.0 }`,
+			`{ at = 22.0, kind = "srv_crash", share = 0.4, for_s = 4.0, how = "dark" }`, `{ at = 25.0, kind = "retry_abuse", x = 4.0, share = 0.5, for_s = 5.0 }`}},
+	{"garbled", []string{`{ at = 12.0, kind = "config_change", how = "weights" }`},
+		[]string{`{ at = 2.0, kind = "garble", share = 0.6, x = 0.1, for_s = 5.0 }`, `{ at = 8.0, kind = "garble", how = "extra late", share = 0.6, x = 0.1, for_s = 5.0 }`,
+			`{ at = 14.0, kind = "garble", how = "unframed", share = 0.6, x = 0.1, for_s = 5.0 }`, `{ at = 20.0, kind = "garble", how = "early", share = 0.6, x = 0.1, for_s = 5.0 }`,
+			`{ at = 26.0, kind = "answer_lost", share = 0.6, x = 0.2, for_s = 4.0 }`}},
+	{"orders-late", []string{`{ at = 20.0, kind = "scale_in", share = 0.3, how = "reclaim", x = 2.5, for_s = 4.0 }`},
+		[]string{`{ at = 1.0, kind = "applied_late", x = 0.6, for_s = 12.0 }`, `{ at = 3.0, kind = "node_kill", on = "core", count = 1, how = "giver" }`, `{ at = 6.0, kind = "node_kill", on = "core", count = 1, how = "giver" }`,
+			`{ at = 8.0, kind = "node_freeze", on = "core", count = 2, for_s = 4.0, how = "giver" }`, `{ at = 15.0, kind = "srv_grey", how = "mute", share = 0.3, x = 0.3, for_s = 5.0 }`,
+			`{ at = 22.0, kind = "give_up", share = 0.4, for_s = 6.0 }`}},
+}
+
+func (d day) text() string {
+	return fmt.Sprintf("name = %q\nslot = \"trouble\"\nseed = 7\none = 0.6\nzero = 0.1\ngoal = { floor = 0.0 }\nlabels = []\nwall = 2.0\nlight = true\nplan = [\n  %s,\n]\nfaults = [\n  %s,\n]\n",
+		d.name, strings.Join(d.plan, ",\n  "), strings.Join(d.faults, ",\n  "))
+}
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: days FOLDER")
+		os.Exit(2)
+	}
+	for _, d := range days {
+		path := filepath.Join(os.Args[1], d.name+".toml")
+		if err := os.WriteFile(path, []byte(d.text()), 0o644); err != nil {
+			fmt.Fprintf(os.Stderr, "days: %v\n", err)
+			os.Exit(1)
+		}
+		fmt.Println(path)
+	}
+}
