--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -51,7 +51,7 @@
 // DefaultOptions returns the options of an entry in a zone.
 func DefaultOptions(zone string) Options {
 	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.9,
-		ShortTokens: 24000, GapMargin: 25 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, MaxParts: 16,
+		ShortTokens: 24000, GapMargin: 10 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, MaxParts: 16,
 		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02}
 }
 
@@ -330,19 +330,20 @@
 // firstOrder ranks a server for writing the answer.
 func (r *ranked) firstOrder() float64 { return r.order + r.loss - r.helperLoss }
 
-// harm is what a read does to the answers being written: those whose pause would
-// become too long, by their value. Pauses that are too long already count no more.
+// harm is what a read does to the answers being written: the chance that it makes
+// their pause too long, by their value. Pauses that are too long already count no
+// more.
 func (b *Book) harm(c *candidate, readMs float64) float64 {
 	if c.batch.Answers == 0 {
 		return 0
 	}
-	margin := b.options.GapMargin.Seconds() * msPerSecond
-	before := c.passMs + c.backlogMs + margin
+	before := enginemodel.Millis(c.passMs+c.backlogMs) + b.options.GapMargin
+	after := before + enginemodel.Millis(readMs)
 	sum := 0.0
 	for _, w := range c.state.works {
-		gap := w.dispatch.Gap.Seconds() * msPerSecond
-		if w.writing && gap > 0 && before <= gap && before+readMs > gap {
-			sum += b.value(w.dispatch.PromptTokens) * b.options.LateLoss
+		gap := w.dispatch.Gap
+		if w.writing && gap > 0 {
+			sum += b.value(w.dispatch.PromptTokens) * b.options.LateLoss * (lateShare(after, gap) - lateShare(before, gap))
 		}
 	}
 	return sum
@@ -400,7 +401,7 @@
 		}
 		end := now.Sub(w.began) + enginemodel.Millis(ahead)
 		value := b.value(w.dispatch.PromptTokens) * b.options.LateLoss
-		sum += value * (b.lateShare(end+enginemodel.Millis(readMs), target) - b.lateShare(end, target))
+		sum += value * (lateShare(end+enginemodel.Millis(readMs), target) - lateShare(end, target))
 	}
 	return sum
 }
@@ -430,20 +431,23 @@
 	if q.Target <= 0 {
 		return 0
 	}
-	loss := value * b.options.LateLoss * b.lateShare(predicted, q.Target)
+	loss := value * b.options.LateLoss * lateShare(predicted, time.Duration(b.options.TargetShare*float64(q.Target)))
 	if predicted > q.Remaining {
 		loss += value
 	}
 	return loss + value*0.05*predicted.Seconds()/q.Target.Seconds()
 }
 
-// lateShare is the believed chance that a first event that is predicted for a time
-// comes after the target: a slope, because predictions err.
-func (b *Book) lateShare(predicted, target time.Duration) float64 {
-	slope := (predicted.Seconds() - b.options.TargetShare*target.Seconds()) / (0.1 * target.Seconds())
-	return 1 / (1 + math.Exp(-slope))
+// lateShare is the believed chance that what is predicted for a time comes after a
+// limit: a slope, because predictions err.
+func lateShare(predicted, limit time.Duration) float64 {
+	return 1 / (1 + math.Exp(-(predicted.Seconds()-limit.Seconds())/(lateSlope*limit.Seconds())))
 }
 
+// lateSlope is the width of the slope as a share of the limit. Predicted and actual
+// first events of lone prompts lie within a sixteenth of each other.
+const lateSlope = 0.06
+
 // hold divides the memory of a prompt that is larger than the first server's free
 // memory over reservations at all chosen servers. It returns none if the first
 // server holds it all.
