--- a/entry/gateway/book.go
+++ b/entry/gateway/book.go
@@ -62,21 +62,23 @@
 	s.book.Unreachable(time.Now(), server)
 }
 
-// notExecuted books a refusal: a helper at fault is named by its address, and an
-// address that another server has now means that the one expected is gone.
-func (s *Server) notExecuted(choice placement.Choice, answer platform.Answer) {
+// notExecuted books a refusal and returns the server at fault: a helper that the
+// answer names by its address, else the one that answered. An address that another
+// server has now means that the one expected is gone.
+func (s *Server) notExecuted(choice placement.Choice, answer platform.Answer) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, helper := range choice.Helpers {
 		if answer.FaultyAt != "" && helper.Address == answer.FaultyAt {
 			s.book.Unreachable(now, helper.ID)
-			return
+			return helper.ID
 		}
 	}
 	if answer.Misdirected {
 		s.book.Unreachable(now, choice.Server.ID)
-		return
+	} else {
+		s.book.Failed(now, choice.Server.ID)
 	}
-	s.book.Failed(now, choice.Server.ID)
+	return choice.Server.ID
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -342,6 +342,27 @@
 	})
 }
 
+// A long prompt is divided over four workers, one of which is dead. The first one
+// refuses and names it; the next try keeps the first one and leaves out the dead.
+func TestADeadHelperIsLeftOut(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	var dead atomic.Pointer[standin.Worker]
+	script := standin.HelperGone(func() string { return dead.Load().Address() })
+	for i := range 4 {
+		w.worker(fmt.Sprintf("i-%d", i), "engines", script)
+	}
+	dead.Store(w.workers[3])
+	s := w.serve()
+	for range 6 {
+		r := w.call(s, http.MethodPost, "/stream/", 200_000, "prompt")
+		if r.signature == "signed-by-i-3" {
+			continue // it was chosen as the first, where it answers
+		}
+		require.Equal(t, 200, r.status, r.body)
+	}
+}
+
 // One worker refuses its part of the memory: what the others granted is given back
 // at once, and nothing is run.
 func TestRefusedMemoryIsGivenBackByAll(t *testing.T) {
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -186,8 +186,8 @@
 		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: "the answer belongs to another request"})
 	}
 	if answer.NotExecuted {
-		e.s.notExecuted(choice, answer)
-		return e.ended(ctx, server, execution.ForwardNotExecuted, execution.Refusal{Code: execution.CodeQueueFull,
+		fault := e.s.notExecuted(choice, answer)
+		return e.ended(ctx, fault, execution.ForwardNotExecuted, execution.Refusal{Code: execution.CodeQueueFull,
 			Detail: "the server did not take the request", RetryAfter: max(answer.RetryAfter, 200*time.Millisecond)})
 	}
 	success := response.StatusCode >= 200 && response.StatusCode < 300
