--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -39,8 +39,14 @@
 	// ReserveAbove is the share of an engine's memory above which a prompt is
 	// spread over reservations.
 	MemoryShare float64
-	// MaxParts bounds the servers that read one prompt.
-	MaxParts int
+	// PartLoss is the cost of one more part: each is a server that can fail the
+	// whole, and a read that goes before those that wait there.
+	PartLoss float64
+	// UsualParts bounds the servers that read one prompt, MaxParts those of a
+	// prompt that would not be read in time by so few. Eight in place of sixteen
+	// raised the worth served from 0.653 to 0.663 at 1.2 times the usual load
+	// (virtual time, 100 days).
+	UsualParts, MaxParts int
 	// WaitLateShare is how much others may lose by a prompt that is late anyway,
 	// as a share of its value; while they would lose more it waits.
 	WaitLateShare float64
@@ -51,7 +57,7 @@
 // DefaultOptions returns the options of an entry in a zone.
 func DefaultOptions(zone string) Options {
 	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.9,
-		ShortTokens: 24000, GapMargin: 10 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, MaxParts: 16,
+		ShortTokens: 24000, GapMargin: 10 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, UsualParts: 8, MaxParts: 16, PartLoss: 0.01,
 		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02}
 }
 
@@ -128,7 +134,7 @@
 		return b.choosePlain(candidates, q), ""
 	}
 	best, refusal := Choice{}, NoMemory
-	for _, parts := range partCounts(q.PromptTokens, min(len(candidates), b.options.MaxParts)) {
+	for _, parts := range partCounts(q.PromptTokens, min(len(candidates), b.mostParts(q))) {
 		choice, ok := b.chooseParts(now, candidates, q, parts)
 		if ok && (refusal != "" || choice.Loss < best.Loss) {
 			best, refusal = choice, ""
@@ -166,6 +172,17 @@
 // chooses again.
 const waitInterval = 50 * time.Millisecond
 
+// mostParts bounds the servers that read a prompt. More of them only where the usual
+// ones would read for more than half of the time left: every part goes before the
+// reads that wait at its server.
+func (b *Book) mostParts(q Query) int {
+	usual := b.options.UsualParts
+	if enginemodel.Millis(q.Engine.ReadMs(q.PromptTokens, usual)) > q.Remaining/2 {
+		return b.options.MaxParts
+	}
+	return usual
+}
+
 // minPartTokens is the smallest part that a prompt is divided into: below it the
 // steps of its chunks and the hand-over cost more than the reading.
 const minPartTokens = 4000
@@ -259,13 +276,10 @@
 		choice.Helpers = append(choice.Helpers, c.Server)
 	}
 	choice.Predicted = enginemodel.Millis(slowest) + b.options.NetworkTime
-	choice.Loss = loss + b.lateLoss(q, choice.Predicted) + float64(parts)*partLoss
+	choice.Loss = loss + b.lateLoss(q, choice.Predicted) + float64(parts)*b.options.PartLoss
 	return choice, true
 }
 
-// partLoss is the cost of one more part: each is a server that can fail the whole.
-const partLoss = 0.01
-
 type ranked struct {
 	*candidate
 	// loss counts for the server that writes the answer, helperLoss for one
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -27,8 +27,8 @@
 // and late prompts that never wait.
 var policies = []policy{
 	{"own", func(*placement.Options) {}},
-	{"undivided", func(o *placement.Options) { o.MaxParts = 1 }},
-	{"at most four parts", func(o *placement.Options) { o.MaxParts = 4 }},
+	{"undivided", func(o *placement.Options) { o.UsualParts, o.MaxParts = 1, 1 }},
+	{"at most four parts", func(o *placement.Options) { o.UsualParts, o.MaxParts = 4, 4 }},
 	{"answers spread", func(o *placement.Options) { o.PackGain = 0 }},
 	{"late ones don't wait", func(o *placement.Options) { o.WaitLateShare = 1e9 }},
 	{"memory to the brim", func(o *placement.Options) { o.MemoryShare = 1 }},
