--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -521,13 +521,13 @@
 	w.configure(nil)
 	release, started := make(chan struct{}), make(chan struct{})
 	end := sync.OnceFunc(func() { close(release) })
-	t.Cleanup(end)
 	w.worker("i-1", "engines", func(out http.ResponseWriter, r *http.Request) {
 		close(started)
 		<-release
 		standin.Events(out, r, 3, 0)
 	})
 	w.worker("i-2", "plain", nil)
+	t.Cleanup(end) // before the workers close, which waits for their requests
 	s := w.serve()
 	done := make(chan reply, 1)
 	go func() { done <- w.call(s, http.MethodPost, "/stream/", 2000, "x") }()
