--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -39,7 +39,7 @@
 	// away take over a configuration from a peer within a second.
 	HeartbeatInterval = 500 * time.Millisecond
 	// ForgetAfter is how long an entry that is not heard of is still sent to: a
-	// few times the longest partition of the users' days.
+	// few times a partition of some ten seconds.
 	ForgetAfter = 40 * time.Second
 	// AliveAfter is how long an entry that is not heard of counts as running.
 	AliveAfter = 3 * time.Second
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -48,7 +48,7 @@
 const (
 	// DefaultLogRate bounds the lines a second. A request writes two or three;
 	// an entry of 0.3 of a core serves some 25 requests a second at the peak of
-	// the users' days.
+	// a usual day.
 	DefaultLogRate = 200
 	// DefaultLogBuffer is how many lines wait for a slow reader.
 	DefaultLogBuffer = 1024
--- a/proof/days/main.go
+++ b/proof/days/main.go
@@ -1,4 +1,4 @@
-// Command days writes days of trouble for the users' bench: each row of the table
+// Command days writes files that describe days of trouble: each row of the table
 // mixes kinds of disruption that the standard days leave out with stops, kills,
 // changes of the configuration, taken keys and a store that can't be read.
 package main
@@ -10,7 +10,7 @@
 	"strings"
 )
 
-// day is one row: planned work and faults, each as the bench writes an entry.
+// day is one row: planned work and faults, each as one entry of such a file.
 type day struct {
 	name   string
 	plan   []string
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// One worker alone: the same short prompts beside the bench's worker gave a median
+// One worker alone: the same short prompts at a real worker gave a median
 // first event of 37, 105 and 124 ms at half a request, three and six a second.
 func TestOneWorkerAloneIsAsFastAsMeasured(t *testing.T) {
 	for _, c := range []struct{ rate, from, to float64 }{{0.5, 30, 90}, {3, 90, 120}, {6, 110, 180}} {
