--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -126,6 +126,6 @@
 	return 1 / (1 + math.Exp(-(predicted.Seconds()-limit.Seconds())/(lateSlope*limit.Seconds())))
 }
 
-// lateSlope is the width of the slope as a share of the limit. Predicted and actual
-// first events of lone prompts lie within a sixteenth of each other.
+// lateSlope is the width of the slope as a share of the limit. 0.06 served 0.804 of the
+// worth, 0.1 and 0.03 served 0.798 (virtual time, 100 days at three loads).
 const lateSlope = 0.06
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -8,28 +8,38 @@
 	// Zone is the entry's availability zone.
 	Zone string
 	// TokensPerValue is how many prompt tokens double a short request's value.
-	// What a caller loses with a request grows with the work put into it.
+	// What a caller loses with a request grows with the work put into it. The
+	// users rate a prompt of 154,000 tokens sixteen times one of 5,000; 5,000 and
+	// 12,000 in place of 8,000 served about as much.
 	TokensPerValue float64
-	// LateLoss is the share of a request's value that is lost when it is late.
+	// LateLoss is the share of a request's value that is lost when it is late:
+	// the users rate a late answer at a quarter of one in time.
 	LateLoss float64
-	// ZoneLoss is the cost of leaving the zone.
+	// ZoneLoss is the cost of leaving the zone, in short requests: some 2 ms, and
+	// the bytes, which cost the users about a hundredth of a short answer.
 	ZoneLoss float64
-	// PackGain is the gain from an answer that is already being written on a
-	// server, up to PackShare of its slots, for a short prompt. Packed short
-	// answers leave whole servers to the reading of long prompts, beside which
-	// they would pause for too long.
+	// PackGain is the gain from each answer at a server that bears pauses alike,
+	// as a share of the request's value, until PackShare of the server's slots is
+	// taken. Packed answers leave whole servers to the reading of long prompts,
+	// beside which they would pause for too long. Served at the usual load
+	// (virtual time, 100 days): 0.828 with it, 0.789 without; PackShare 0.6 and 1.1
+	// served 1 to 2 in 100 less than 0.9.
 	PackGain  float64
 	PackShare float64
-	// ShortTokens is the longest prompt that is packed.
+	// ShortTokens is the longest prompt, in tokens, that never waits at the entry
+	// and that is refused beyond the slots. It is the longest of the users'
+	// shortest kinds.
 	ShortTokens int64
 	// GapMargin is kept free of the expected pause between events, for the
-	// network and for what this entry has not heard of yet.
+	// network and for what this entry has not heard of yet. 10 ms served 0.2 in
+	// 100 more than 25 ms.
 	GapMargin time.Duration
 	// TargetShare is the share of the target for the first event at which a
-	// prediction counts as half late.
+	// prediction counts as half late. 1 served 1 in 100 more than 0.85.
 	TargetShare float64
-	// ReserveAbove is the share of an engine's memory above which a prompt is
-	// spread over reservations.
+	// MemoryShare is the share of an engine's memory that prompts may fill. The
+	// rest is for the answers' growth and for what other entries send at the same
+	// moment. 0.85 served 0.6 in 100 more than 0.9, and 2 in 100 more than 1.
 	MemoryShare float64
 	// PartLoss is the cost of one more part: each is a server that can fail the
 	// whole, and a read that goes before those that wait there.
@@ -40,10 +50,12 @@
 	// (virtual time, 100 days).
 	UsualParts, MaxParts int
 	// ShedShare is the share of the target beyond which the predicted first
-	// event of a short prompt that has to wait for a slot gets it refused.
+	// event of a short prompt that has to wait for a slot gets it refused. Of a
+	// burst on too few servers 1.5 served 0.59 of the worth in time, none 0.56.
 	ShedShare float64
 	// WaitLateShare is how much others may lose by a prompt that is late anyway,
-	// as a share of its value; while they would lose more it waits.
+	// as a share of its value; while they would lose more it waits. Without the
+	// wait 0.802 was served at the usual load, with it 0.828.
 	WaitLateShare float64
 	// NetworkTime is a connection's opening and the way there and back.
 	NetworkTime time.Duration
