Drop a load book that nothing read, and log a settings file that can't be read

Found in a last read of the whole change: servers' own load reports were booked under the lock on every answer and decided nothing; a failure counter was never counted; the try's result was checked twice and a choice's refusal passed on twice; an unreadable settings file was passed over without a line. Decisions are as before.

--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -73,14 +73,8 @@
 	// advanced is the time up to which readMs was worked off.
 	advanced time.Time
 	trust    trust
-	// reported is the last load that the server itself told.
-	reported   Reported
-	reportedAt time.Time
 }
 
-// Reported is a load that a server tells with its answers.
-type Reported struct{ Running, Waiting, Slots int }
-
 type active struct {
 	dispatch Dispatch
 	expires  time.Time
@@ -190,12 +184,6 @@
 	}
 }
 
-// Report takes in the load that a server told with an answer.
-func (b *Book) Report(now time.Time, id string, reported Reported) {
-	s := b.server(id, nil)
-	s.reported, s.reportedAt = reported, now
-}
-
 func (s *server) remove(id string) {
 	kept := s.works[:0]
 	for _, w := range s.works {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -77,8 +77,7 @@
 	loss      float64 // distrust and distance
 }
 
-// Choose picks servers for a request. The third value is empty if there is a
-// choice.
+// Choose picks servers for a request. The refusal is empty if there is a choice.
 func (b *Book) Choose(now time.Time, q Query) (Choice, Refusal) {
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
--- a/entry/gateway/book.go
+++ b/entry/gateway/book.go
@@ -38,12 +38,6 @@
 	s.peers.ended(id)
 }
 
-func (s *Server) reported(server string, reported placement.Reported) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.Report(time.Now(), server, reported)
-}
-
 func (s *Server) serverSucceeded(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -36,13 +36,11 @@
 		}
 		e.logChoice(choice)
 		result := e.try(ctx, choice)
-		if !result.over {
-			e.logTry(result)
-		}
 		if result.over {
 			e.succeed()
 			return
 		}
+		e.logTry(result)
 		if result.conclusion != nil {
 			e.conclude(result.conclusion)
 			return
@@ -85,11 +83,7 @@
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
 	q.Servers = e.s.directory.Available(e.service.Name)
-	choice, refusal := e.s.book.Choose(now, q)
-	if refusal != "" {
-		return choice, refusal
-	}
-	return choice, ""
+	return e.s.book.Choose(now, q)
 }
 
 // answerTokens is the expected length of the answer.
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -73,15 +73,15 @@
 }
 
 type counters struct {
-	requests, complete, refused, failed, unknown, gone, again, resumed metrics.Counter
-	storeCalls, storeErrors, peerMessages, peerBytes, linesDropped     metrics.Counter
-	firstByte, whole                                                   metrics.Timer
+	requests, complete, refused, unknown, gone, again, resumed     metrics.Counter
+	storeCalls, storeErrors, peerMessages, peerBytes, linesDropped metrics.Counter
+	firstByte, whole                                               metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
 	return counters{
 		requests: metrics.NewRegisteredCounter("requests", r), complete: metrics.NewRegisteredCounter("requests.complete", r),
-		refused: metrics.NewRegisteredCounter("requests.refused", r), failed: metrics.NewRegisteredCounter("requests.failed", r),
+		refused: metrics.NewRegisteredCounter("requests.refused", r),
 		unknown: metrics.NewRegisteredCounter("requests.unknown", r), gone: metrics.NewRegisteredCounter("requests.caller.gone", r),
 		again: metrics.NewRegisteredCounter("attempts.again", r), resumed: metrics.NewRegisteredCounter("attempts.resumed", r),
 		storeCalls: metrics.NewRegisteredCounter("store.calls", r), storeErrors: metrics.NewRegisteredCounter("store.errors", r),
--- a/entry/gateway/settingsloop.go
+++ b/entry/gateway/settingsloop.go
@@ -41,7 +41,11 @@
 			return nil
 		}
 		content, err := os.ReadFile(s.options.SettingsPath)
-		if err != nil || bytes.Equal(content, last) {
+		if err != nil {
+			s.log.WithError(err).Warn("the settings file can't be read; the last good settings stay in force")
+			continue
+		}
+		if bytes.Equal(content, last) {
 			continue
 		}
 		last = content
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -180,9 +180,6 @@
 	server := choice.Server.ID
 	e.core.Sending()
 	answer := platform.ParseAnswer(response.StatusCode, response.Header)
-	if answer.Load.Known {
-		e.s.reported(server, placement.Reported{Running: answer.Load.Running, Waiting: answer.Load.Waiting, Slots: answer.Load.Slots})
-	}
 	if answer.ID != "" && answer.ID != e.info.ID {
 		e.s.serverFailed(server)
 		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: "the answer belongs to another request"})
