Soak the entry as real processes under random faults

Change: proof/soak runs entries as processes behind links that delay, reset, cut one way and silence connections, signals them, and lets the stand-ins of store and servers misbehave. A run is drawn from a seed. A pure checker reads what callers and servers saw.

--- /dev/null
+++ b/proof/soak/check.go
@@ -0,0 +1,213 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Finding is a promise that was broken.
+type Finding struct {
+	Promise string
+	Detail  string
+}
+
+// findingsOfPromise bounds what is told of one promise; one cause breaks many calls.
+const findingsOfPromise = 5
+
+// checker reads the records of a run that has ended.
+type checker struct {
+	*Records
+	runs     map[string][]*Run
+	calls    map[string]*Call
+	findings []Finding
+	told     map[string]int
+}
+
+// Check returns the promises that were broken. Those that bound times are checked
+// only if timed is set.
+func Check(r *Records, timed bool) []Finding {
+	c := &checker{Records: r, runs: map[string][]*Run{}, calls: map[string]*Call{}, told: map[string]int{}}
+	for _, run := range r.Runs {
+		c.runs[run.ID] = append(c.runs[run.ID], run)
+	}
+	for i := range r.Calls {
+		c.calls[r.Calls[i].ID] = &r.Calls[i]
+	}
+	for i := range r.Calls {
+		c.checkCall(&r.Calls[i])
+	}
+	for _, run := range r.Runs {
+		c.checkRun(run)
+	}
+	c.checkVersions()
+	c.checkRetries()
+	c.checkEnd()
+	if timed {
+		c.checkTimes()
+	}
+	return c.findings
+}
+
+func (c *checker) found(promise, format string, arguments ...any) {
+	c.told[promise]++
+	if c.told[promise] <= findingsOfPromise {
+		c.findings = append(c.findings, Finding{promise, fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// notRunStatuses promise that a request has not run and never will.
+var notRunStatuses = []int{408, 421, 429, 503}
+
+func (c *checker) checkCall(call *Call) {
+	runs := c.runs[call.ID]
+	if call.Kind.atMostOnce() && len(runs) > 1 {
+		c.found("at most once", "%s ran %d times, at %s and %s", call.ID, len(runs), runs[0].Worker, runs[1].Worker)
+	}
+	if call.Kind.atMostOnce() && slices.Contains(notRunStatuses, call.Status) && len(runs) > 0 {
+		c.found("not run is true", "%s was answered %d and ran at %s", call.ID, call.Status, runs[0].Worker)
+	}
+	if call.Spoiled != "" {
+		c.found("the whole answer to its own request", "%s: %s", call.ID, call.Spoiled)
+	}
+	if call.Status == 200 && call.Signature == "" {
+		c.found("the whole answer to its own request", "%s: 200 without a server's signature", call.ID)
+	}
+	if call.Status >= 400 && call.Signature != "" && !slices.ContainsFunc(runs, func(r *Run) bool { return r.Status == call.Status }) {
+		c.found("the whole answer to its own request", "%s: signed status %d that no server gave", call.ID, call.Status)
+	}
+	if call.Kind != Probe && call.Kind != OldKey && (call.Status == 404 || call.Status == 401) {
+		c.found("no proper request is denied", "%s %s was answered %d", call.ID, call.Path, call.Status)
+	}
+}
+
+func (c *checker) checkRun(run *Run) {
+	call := c.calls[run.ID]
+	if call == nil {
+		c.found("only callers' requests run", "%s ran at %s", run.ID, run.Worker)
+		return
+	}
+	service := plain
+	if call.Kind.streams() {
+		service = engines
+	}
+	if run.Service != service {
+		c.found("the right service", "%s %s ran at %s of %s", run.ID, call.Path, run.Worker, run.Service)
+	}
+	if run.Workspace != "press" || run.Key != "" {
+		c.found("the workspace of the key", "%s ran for %q with key %q", run.ID, run.Workspace, run.Key)
+	}
+	if run.Remaining <= 0 || run.Remaining > call.Wait {
+		c.found("no more time than is left", "%s was given %s of %s", run.ID, run.Remaining, call.Wait)
+	}
+}
+
+// checkVersions finds an entry that has shown a configuration and later an older one
+// within one start. Probes of an entry come one after the other.
+func (c *checker) checkVersions() {
+	for entry := range c.Starts {
+		shown, since := 0, time.Time{}
+		for i := range c.Calls {
+			call := &c.Calls[i]
+			if call.Kind != Probe || call.Entry != entry {
+				continue
+			}
+			if c.startedBetween(entry, since, call.Ended) {
+				shown = 0
+			}
+			switch {
+			case call.Status == 200:
+				shown, since = max(shown, call.Marker), call.Ended
+			case call.Status == 404 && call.Marker <= shown && !c.dropped(call.Marker, call.Ended):
+				c.found("a configuration never reverts", "entry %d showed version %d and not %d after it (%s)", entry, shown, call.Marker, call.ID)
+			}
+		}
+	}
+}
+
+func (c *checker) startedBetween(entry int, from, to time.Time) bool {
+	return slices.ContainsFunc(c.Starts[entry], func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
+// dropped says that a version's route may have been taken away by a time.
+func (c *checker) dropped(version int, by time.Time) bool {
+	return slices.ContainsFunc(c.Configs, func(change ConfigChange) bool { return change.Version >= version+2 && change.At.Before(by) })
+}
+
+// checkRetries counts the arrivals beyond the first of each request in every window
+// that begins with one.
+func (c *checker) checkRetries() {
+	arrivals := slices.Clone(c.Arrivals)
+	slices.SortFunc(arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
+	for _, service := range []string{engines, plain} {
+		seen := map[string]bool{}
+		var first, again []time.Time
+		for _, a := range arrivals {
+			switch {
+			case a.Service != service:
+			case seen[a.ID]:
+				again = append(again, a.At)
+			default:
+				seen[a.ID] = true
+				first = append(first, a.At)
+			}
+		}
+		for _, from := range again {
+			repeats, limit := countIn(again, from), retryExtra+retryRatio*float64(countIn(first, from.Add(-retryWindow))+countIn(first, from))
+			if float64(repeats) > limit {
+				c.found("retries keep to their budget", "%d within %s at %s, %.0f allowed", repeats, retryWindow, service, limit)
+			}
+		}
+	}
+}
+
+func countIn(times []time.Time, from time.Time) int {
+	low, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	high, _ := slices.BinarySearchFunc(times, from.Add(retryWindow), time.Time.Compare)
+	return high - low
+}
+
+// checkEnd looks at what is left: memory, exits, and whether callers are served again.
+func (c *checker) checkEnd() {
+	for worker, count := range c.Reserved {
+		c.found("memory comes back", "%d reservations stand at %s", count, worker)
+	}
+	for _, e := range c.Exits {
+		if e.ByItself {
+			c.found("no process ends by itself", "entry %d exited with %d", e.Entry, e.Code)
+		}
+	}
+	asked, served := 0, 0
+	for i := range c.Calls {
+		call := &c.Calls[i]
+		if call.Began.Before(c.Calm.Add(CalmTime/2)) || call.Kind == OldKey || call.Left {
+			continue
+		}
+		asked++
+		if call.Status == 200 {
+			served++
+		}
+	}
+	if float64(served) < recoveredShare*float64(asked) {
+		c.found("recovery", "%d of %d requests are served after the last fault", served, asked)
+	}
+}
+
+// sortedFaults are the faults in the order of their beginnings, for reports.
+func (r *Records) sortedFaults() []Interval {
+	faults := slices.Clone(r.Faults)
+	slices.SortFunc(faults, func(a, b Interval) int { return cmp.Compare(a.From.UnixNano(), b.From.UnixNano()) })
+	return faults
+}
+
+// faultLines tells what struck, one line each, counted from the first one.
+func (r *Records) faultLines() string {
+	var text strings.Builder
+	faults := r.sortedFaults()
+	for _, f := range faults {
+		_, _ = fmt.Fprintf(&text, "%8.3f to %8.3f s  %s %d\n", f.From.Sub(faults[0].From).Seconds(), f.To.Sub(faults[0].From).Seconds(), f.Kind, f.Target)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/proof/soak/check_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var began = time.Unix(1_000_000, 0)
+
+func after(seconds float64) time.Time {
+	return began.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// sound is a run in which one order is served and nothing is broken.
+func soundRecords() *Records {
+	r := newRecords()
+	r.Starts[0] = []time.Time{began}
+	r.Configs = []ConfigChange{{1, began}, {2, began}, {3, began}}
+	r.Calm = after(100)
+	r.Calls = []Call{{ID: "a", Kind: Order, Path: "/order/x", Began: after(10), Ended: after(10.1), Wait: 2 * time.Second, Status: 200, Signature: "s", Whole: true}}
+	r.Runs = []*Run{{ID: "a", Worker: "w", Service: plain, Workspace: "press", Began: after(10.01), Ended: after(10.09), Status: 200, Remaining: time.Second}}
+	r.Arrivals = []Arrival{{ID: "a", Worker: "w", Service: plain, At: after(10.01)}}
+	return r
+}
+
+func TestASoundRunHasNoFindings(t *testing.T) {
+	require.Empty(t, Check(soundRecords(), true))
+}
+
+// Each promise in turn is broken in the records; the checker must name it.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	again := func(r *Records, change func(*Run)) {
+		run := *r.Runs[0]
+		change(&run)
+		r.Runs = append(r.Runs, &run)
+	}
+	probe := func(r *Records, id string, at float64, status, marker int) {
+		r.Calls = append(r.Calls, Call{ID: id, Kind: Probe, Began: after(at), Ended: after(at + 0.1), Wait: time.Second, Status: status, Signature: signatureOf(status), Marker: marker, Whole: true})
+	}
+	cases := map[string]func(r *Records){
+		"at most once":                        func(r *Records) { again(r, func(run *Run) { run.Worker = "other" }) },
+		"not run is true":                     func(r *Records) { r.Calls[0].Status, r.Calls[0].Signature = 503, "" },
+		"the whole answer to its own request": func(r *Records) { r.Calls[0].Spoiled = "another's" },
+		"no proper request is denied":         func(r *Records) { r.Calls[0].Status, r.Calls[0].Signature, r.Runs = 404, "", nil },
+		"only callers' requests run":          func(r *Records) { again(r, func(run *Run) { run.ID = "unknown" }) },
+		"the right service":                   func(r *Records) { r.Runs[0].Service = engines },
+		"the workspace of the key":            func(r *Records) { r.Runs[0].Key = "Bearer key-1" },
+		"no more time than is left":           func(r *Records) { r.Runs[0].Remaining = 3 * time.Second },
+		"a configuration never reverts": func(r *Records) {
+			probe(r, "p1", 20, 200, 3)
+			probe(r, "p2", 21, 404, 3)
+		},
+		"retries keep to their budget": func(r *Records) {
+			for range retryExtra + 2 {
+				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
+			}
+		},
+		"memory comes back":              func(r *Records) { r.Reserved["w"] = 1 },
+		"no process ends by itself":      func(r *Records) { r.Exits = []Exit{{ByItself: true}} },
+		"recovery":                       func(r *Records) { r.Calls = append(r.Calls, refusedLate()...) },
+		"a planned stop ends in time":    func(r *Records) { r.Exits = []Exit{{Began: after(20), Took: 12 * time.Second}} },
+		"an answer or a failure in time": func(r *Records) { r.Calls[0].Ended = after(14) },
+		"nothing is cut": func(r *Records) {
+			r.Calls[0].Status, r.Calls[0].Signature, r.Calls[0].Whole, r.Calls[0].Err = 0, "", false, errors.New("reset")
+		},
+		"a caller that leaves ends the work": func(r *Records) {
+			r.Calls[0].Left, r.Calls[0].Whole, r.Runs[0].Ended = true, false, after(15)
+		},
+		"a configuration is in force in time": func(r *Records) {
+			r.Configs = append(r.Configs, ConfigChange{4, after(20)})
+			probe(r, "p1", 24, 404, 4)
+		},
+		"a leaving server gets nothing new": func(r *Records) { r.Leaving["w"] = after(5) },
+	}
+	for promise, breaks := range cases {
+		t.Run(promise, func(t *testing.T) {
+			r := soundRecords()
+			breaks(r)
+			var promises []string
+			for _, f := range Check(r, true) {
+				promises = append(promises, f.Promise)
+			}
+			require.Contains(t, promises, promise)
+		})
+	}
+}
+
+func signatureOf(status int) string {
+	if status == 200 {
+		return "s"
+	}
+	return ""
+}
+
+func refusedLate() []Call {
+	var calls []Call
+	for _, id := range []string{"x", "y", "z"} {
+		calls = append(calls, Call{ID: id, Kind: Read, Path: "/read/x", Began: after(104), Ended: after(104.1), Wait: time.Second, Status: 503, Whole: true})
+	}
+	return calls
+}
+
+// An entry was paused when a server left; it can't have heard of it, and the bound
+// does not hold for it. The same goes for one that was cut off from the store.
+func TestBoundsHoldOnlyForEntriesInTouch(t *testing.T) {
+	for _, kind := range []Kind{EntryPaused, StoreLink, StoreRefuses} {
+		r := soundRecords()
+		r.Leaving["w"] = after(5)
+		r.Faults = []Interval{{Kind: kind, From: after(4), To: after(9)}}
+		require.Empty(t, Check(r, true), kind)
+		r.Faults[0].To = after(6)
+		require.NotEmpty(t, Check(r, true), kind)
+	}
+}
+
+// A planned stop is no reason to cut a request, a kill is.
+func TestOnlyUnplannedFaultsExcuseACut(t *testing.T) {
+	r := soundRecords()
+	r.Calls[0].Status, r.Calls[0].Signature, r.Calls[0].Whole, r.Calls[0].Err = 0, "", false, errors.New("reset")
+	r.Faults = []Interval{{Kind: EntryStopped, From: after(9), To: after(11)}}
+	require.NotEmpty(t, Check(r, true))
+	r.Faults = append(r.Faults, Interval{Kind: EntryKilled, From: after(10.05), To: after(10.06)})
+	require.Empty(t, Check(r, true))
+}
--- /dev/null
+++ b/proof/soak/doc.go
@@ -0,0 +1,70 @@
+// Package soak runs the entry daemon as real processes on loopback, injects faults
+// from outside them, and checks the project's promises from what callers and backend
+// servers see.
+//
+// A run is drawn from a seed: which faults strike what, when and for how long. Between
+// the processes and everything they talk to stand links of this package, which delay,
+// reset, cut one way and silence connections. Processes are killed, paused, stopped
+// as planned and told of changed settings by signals, backend servers crash, leave,
+// give their address to others and spoil answers, and the metadata store refuses,
+// forgets and lapses. Faults come in series and overlap.
+//
+// The daemons' clocks are not stepped: forwarding decides by monotonic time alone.
+package soak
+
+import (
+	"io"
+	"time"
+)
+
+// Options describe a run.
+type Options struct {
+	// Seed draws the faults and the callers' requests.
+	Seed uint64
+	// Length is how long faults strike; a calm part of CalmTime follows.
+	Length time.Duration
+	// Entries and Workers are how many daemons and backend servers there are.
+	Entries, Workers int
+	// Binary is the entry daemon's program.
+	Binary string
+	// Folder gets the settings and logs of the processes.
+	Folder string
+	// Timed also checks the promises that bound times. They hold on a machine
+	// that is not overloaded.
+	Timed bool
+	// Progress gets a line every few seconds.
+	Progress io.Writer
+}
+
+// Bounds of the promises, and what a busy machine adds to them.
+const (
+	// drainBound is how long after the store's acknowledgement a leaving server
+	// may still get requests, and configurationBound how long after it the older
+	// configuration may still be used. Both are the users' figures.
+	drainBound         = 2 * time.Second
+	configurationBound = 2 * time.Second
+	// stableWindow is how long an entry must have been free of faults for these
+	// bounds to hold; the users' figure.
+	stableWindow = 3 * time.Second
+	// goneBound is how long work may go on after its caller has left.
+	goneBound = 500 * time.Millisecond
+	// slack is added to every bound: some fifty processes share the machine's
+	// processors, and a timer may fire late.
+	slack = time.Second
+	// retryRatio, retryExtra and retryWindow bound the arrivals at a service
+	// beyond the first of each request.
+	retryRatio  = 0.2
+	retryExtra  = 100
+	retryWindow = 10 * time.Second
+	// CalmTime is the part without faults at the end of a run, in which the
+	// system has to recover. It is longer than rows, pauses and distrust last.
+	CalmTime = 6 * time.Second
+	// recoveredShare is the least share of requests that is served in the second
+	// half of the calm part.
+	recoveredShare = 0.5
+	// exitBound is how long a stopped daemon may take to exit: its stop limit
+	// and as much again.
+	exitBound = 16 * time.Second
+	// stopLimit is the daemons' setting from SIGTERM to SIGKILL.
+	stopLimit = 8 * time.Second
+)
--- /dev/null
+++ b/proof/soak/link.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// LinkFault is what happens to the connections of a link.
+type LinkFault string
+
+// Faults of links. A silent direction swallows what is sent, for good on the
+// connections that were open, until the fault is over on new ones.
+const (
+	LinkFine      LinkFault = ""
+	LinkDelayed   LinkFault = "delayed"
+	LinkReset     LinkFault = "reset"
+	LinkSilent    LinkFault = "silent"
+	LinkSilentOut LinkFault = "requests swallowed"
+	LinkSilentIn  LinkFault = "answers swallowed"
+)
+
+var linkFaults = []LinkFault{LinkDelayed, LinkReset, LinkSilent, LinkSilentOut, LinkSilentIn}
+
+// linkDelay is added to each piece that passes a delayed link.
+const linkDelay = 150 * time.Millisecond
+
+// Link passes connections on to a target and harms them.
+type Link struct {
+	listener net.Listener
+
+	mu     sync.Mutex
+	target string
+	fault  LinkFault
+	open   map[*connection]bool
+}
+
+type connection struct {
+	link     *Link
+	near     net.Conn
+	far      net.Conn
+	silenced [2]bool // requests, answers: for good
+}
+
+// Directions of a connection.
+const (
+	outward = iota
+	inward
+)
+
+// NewLink listens on an address and passes connections on to a target.
+func NewLink(address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("a link on %s: %w", address, err)
+	}
+	l := &Link{listener: listener, target: target, open: map[*connection]bool{}}
+	go l.accept()
+	return l, nil
+}
+
+// Address is where the link listens.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Retarget sends new connections elsewhere. An empty target resets them.
+func (l *Link) Retarget(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
+// Harm begins a fault, also on the open connections.
+func (l *Link) Harm(fault LinkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = fault
+	for c := range l.open {
+		switch fault {
+		case LinkReset:
+			c.reset()
+		case LinkSilent, LinkSilentOut, LinkSilentIn:
+			c.silence(fault)
+		}
+	}
+}
+
+// Heal ends the fault; connections that were silenced stay so.
+func (l *Link) Heal() { l.Harm(LinkFine) }
+
+// Cut resets the open connections.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.reset()
+	}
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() error {
+	err := l.listener.Close()
+	l.Cut()
+	return err
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		go l.pass(near)
+	}
+}
+
+// targetTimeout bounds the connection to a target on loopback.
+const targetTimeout = time.Second
+
+func (l *Link) pass(near net.Conn) {
+	l.mu.Lock()
+	target, fault := l.target, l.fault
+	l.mu.Unlock()
+	far, err := net.DialTimeout("tcp", target, targetTimeout)
+	if err != nil || fault == LinkReset {
+		resetConnection(near)
+		if far != nil {
+			resetConnection(far)
+		}
+		return
+	}
+	c := &connection{link: l, near: near, far: far}
+	l.mu.Lock()
+	l.open[c] = true
+	if l.fault == LinkSilent || l.fault == LinkSilentOut || l.fault == LinkSilentIn {
+		c.silence(l.fault)
+	}
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { c.copy(outward, far, near) })
+	both.Go(func() { c.copy(inward, near, far) })
+	both.Wait()
+	l.mu.Lock()
+	delete(l.open, c)
+	l.mu.Unlock()
+	// Both ends have been read to their ends; a close that fails changes nothing.
+	_, _ = near.Close(), far.Close()
+}
+
+// copy passes one direction on until it ends. An orderly end is passed on as such,
+// any other one as a reset, so that a broken answer does not look whole.
+func (c *connection) copy(direction int, to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		silenced, delayed := c.state(direction)
+		if delayed {
+			time.Sleep(linkDelay)
+		}
+		if n > 0 && !silenced {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				c.reset()
+				return
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && silenced:
+			return
+		case errors.Is(err, io.EOF):
+			closeWriting(to)
+			return
+		default:
+			c.reset()
+			return
+		}
+	}
+}
+
+func (c *connection) state(direction int) (silenced, delayed bool) {
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	return c.silenced[direction], c.link.fault == LinkDelayed
+}
+
+// silence swallows what is sent from now on. The link's lock is held.
+func (c *connection) silence(fault LinkFault) {
+	c.silenced[outward] = c.silenced[outward] || fault != LinkSilentIn
+	c.silenced[inward] = c.silenced[inward] || fault != LinkSilentOut
+}
+
+func (c *connection) reset() {
+	resetConnection(c.near)
+	resetConnection(c.far)
+}
+
+func resetConnection(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without lingering the close sends a reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func closeWriting(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// The other end may have gone; its own direction tells.
+		_ = tcp.CloseWrite()
+	}
+}
--- /dev/null
+++ b/proof/soak/link_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				lines := bufio.NewReader(c)
+				for {
+					line, err := lines.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if _, err := c.Write([]byte(line)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener
+}
+
+func linkTo(t *testing.T, target string) *Link {
+	l, err := NewLink("127.0.0.1:0", target)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func dial(t *testing.T, l *Link) *bufio.ReadWriter {
+	c, err := net.Dial("tcp", l.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c))
+}
+
+func say(c *bufio.ReadWriter, text string) (string, error) {
+	if _, err := c.WriteString(text + "\n"); err != nil {
+		return "", err
+	}
+	if err := c.Flush(); err != nil {
+		return "", err
+	}
+	return c.ReadString('\n')
+}
+
+func TestALinkPassesAndResets(t *testing.T) {
+	l := linkTo(t, echo(t).Addr().String())
+	c := dial(t, l)
+	line, err := say(c, "hello")
+	require.NoError(t, err)
+	require.Equal(t, "hello\n", line)
+	l.Harm(LinkReset)
+	_, err = say(c, "again")
+	require.Error(t, err)
+	l.Heal()
+	line, err = say(dial(t, l), "anew")
+	require.NoError(t, err)
+	require.Equal(t, "anew\n", line)
+}
+
+// A connection that was silenced stays so for good, while new ones work.
+func TestASilencedConnectionStaysSilent(t *testing.T) {
+	for _, fault := range []LinkFault{LinkSilent, LinkSilentIn, LinkSilentOut} {
+		l := linkTo(t, echo(t).Addr().String())
+		old := dial(t, l)
+		_, err := say(old, "hello")
+		require.NoError(t, err)
+		l.Harm(fault)
+		l.Heal()
+		heard := make(chan struct{})
+		go func() {
+			if _, err := say(old, "lost"); err == nil {
+				close(heard)
+			}
+		}()
+		line, err := say(dial(t, l), "anew")
+		require.NoError(t, err, fault)
+		require.Equal(t, "anew\n", line)
+		select {
+		case <-heard:
+			t.Fatalf("%s: the old connection still speaks", fault)
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/proof/soak/plan.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault or of planned work.
+type Kind string
+
+// Kinds of faults. A target is an entry for the first group, a backend server for
+// the second, and nothing for the store's.
+const (
+	EntryKilled     Kind = "entry killed"
+	EntryPaused     Kind = "entry paused"
+	EntryStopped    Kind = "entry stopped"
+	SettingsChanged Kind = "settings changed"
+	FrontLink       Kind = "link from callers"
+	StoreLink       Kind = "link to the store"
+
+	WorkerCrashed    Kind = "worker crashed"
+	WorkerLeaves     Kind = "worker leaves"
+	AddressReused    Kind = "address reused"
+	WorkerMisbehaves Kind = "worker misbehaves"
+	WorkerLink       Kind = "link to a worker"
+
+	StoreRefuses  Kind = "store refuses"
+	StoreForgets  Kind = "store forgets its history"
+	RowsLapse     Kind = "rows lapse"
+	ConfigChanges Kind = "configuration changes"
+)
+
+// planned says that a kind is planned work, beside which nothing may be cut.
+func (k Kind) planned() bool {
+	return k == EntryStopped || k == SettingsChanged || k == ConfigChanges || k == WorkerLeaves
+}
+
+// onEntry and onWorker say what a kind strikes.
+func (k Kind) onEntry() bool {
+	return slices.Contains([]Kind{EntryKilled, EntryPaused, EntryStopped, SettingsChanged, FrontLink, StoreLink}, k)
+}
+
+func (k Kind) onWorker() bool {
+	return slices.Contains([]Kind{WorkerCrashed, WorkerLeaves, AddressReused, WorkerMisbehaves, WorkerLink}, k)
+}
+
+// Step is one fault.
+type Step struct {
+	At     time.Duration
+	For    time.Duration
+	Kind   Kind
+	Target int
+	// Link is what happens on a link.
+	Link LinkFault
+	// Habit is how a backend server misbehaves.
+	Habit Habit
+}
+
+// weights are how often each kind is drawn.
+var weights = []struct {
+	kind   Kind
+	weight int
+}{
+	{EntryKilled, 5}, {EntryPaused, 5}, {EntryStopped, 6}, {SettingsChanged, 4}, {FrontLink, 4}, {StoreLink, 6},
+	{WorkerCrashed, 5}, {WorkerLeaves, 6}, {AddressReused, 3}, {WorkerMisbehaves, 8}, {WorkerLink, 6},
+	{StoreRefuses, 3}, {StoreForgets, 2}, {RowsLapse, 2}, {ConfigChanges, 9},
+}
+
+const (
+	// meanGap is the mean time between two draws of an entry's or worker's share
+	// of faults; large runs have more of them at once.
+	meanGap = 500 * time.Millisecond
+	// seriesShare is how many draws come as a series, of up to seriesMost
+	// strikes on one target after the other.
+	seriesShare = 0.3
+	seriesMost  = 4
+	seriesGap   = 400 * time.Millisecond
+	// longestFault bounds a fault; the shortest lasts a tenth of it.
+	longestFault = 5 * time.Second
+	// firstFault leaves the daemons time to become ready.
+	firstFault = time.Second
+)
+
+// Plan draws the faults of a run, in the order of time.
+func Plan(o Options) []Step {
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	perGap := max(float64(o.Entries+o.Workers)/12, 1)
+	var steps []Step
+	for at := firstFault; at < o.Length; {
+		steps = append(steps, series(random, o, at)...)
+		at += time.Duration(random.ExpFloat64() * float64(meanGap) / perGap)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
+func series(random *rand.Rand, o Options, at time.Duration) []Step {
+	count := 1
+	if random.Float64() < seriesShare {
+		count = 2 + random.IntN(seriesMost-1)
+	}
+	first := draw(random, o)
+	var steps []Step
+	for i := range count {
+		step := first
+		step.At = at + time.Duration(i)*seriesGap
+		step.Target = (first.Target + i) % o.targets(first.Kind)
+		if step.At < o.Length {
+			step.For = min(step.For, o.Length-step.At)
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// targets is how many things a kind may strike.
+func (o Options) targets(kind Kind) int {
+	switch {
+	case kind.onEntry():
+		return o.Entries
+	case kind.onWorker():
+		return o.Workers
+	}
+	return 1
+}
+
+func draw(random *rand.Rand, o Options) Step {
+	sum := 0
+	for _, w := range weights {
+		sum += w.weight
+	}
+	kind, left := weights[0].kind, random.IntN(sum)
+	for _, w := range weights {
+		if left < w.weight {
+			kind = w.kind
+			break
+		}
+		left -= w.weight
+	}
+	return Step{Kind: kind, Target: random.IntN(o.targets(kind)), For: time.Duration((0.1 + 0.9*random.Float64()) * float64(longestFault)),
+		Link: linkFaults[random.IntN(len(linkFaults))], Habit: habits[random.IntN(len(habits))]}
+}
--- /dev/null
+++ b/proof/soak/soak_test.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// build makes the entry's program, with changed source files in place of others.
+func build(t testing.TB, overlay map[string]string) string {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "arbutus-entry")
+	arguments := []string{"build", "-o", binary}
+	if len(overlay) > 0 {
+		content, err := json.Marshal(map[string]map[string]string{"Replace": overlay})
+		require.NoError(t, err)
+		file := filepath.Join(folder, "overlay.json")
+		require.NoError(t, os.WriteFile(file, content, 0o600))
+		arguments = append(arguments, "-overlay", file)
+	}
+	command := exec.Command("go", append(arguments, "arbutusdeck/entry/cmd/arbutus-entry")...)
+	output, err := command.CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
+// The same seed strikes the same things at the same moments.
+func TestAPlanRepeats(t *testing.T) {
+	o := Options{Seed: 7, Length: 20 * time.Second, Entries: 5, Workers: 9}
+	require.Equal(t, Plan(o), Plan(o))
+	require.Greater(t, len(Plan(o)), 10)
+	o.Seed = 8
+	require.NotEqual(t, Plan(Options{Seed: 7, Length: o.Length, Entries: 5, Workers: 9}), Plan(o))
+	for _, step := range Plan(o) {
+		require.LessOrEqual(t, step.At+step.For, o.Length)
+	}
+}
+
+// kept reads the runs that tests play: one that covers much, and those that once
+// broke a promise.
+func kept(t *testing.T) []Options {
+	file, err := os.Open("testdata/seeds.txt")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, file.Close()) }()
+	var found []Options
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "#") {
+			continue
+		}
+		var o Options
+		var seconds int
+		_, err := fmt.Sscan(lines.Text(), &o.Seed, &o.Entries, &o.Workers, &seconds)
+		require.NoError(t, err, lines.Text())
+		o.Length = time.Duration(seconds) * time.Second
+		found = append(found, o)
+	}
+	require.NoError(t, lines.Err())
+	return found
+}
+
+// Entries, servers, links and the store are struck for some seconds. Callers keep to
+// their connections meanwhile; what they and the servers saw must agree with every
+// promise that rests on no time.
+func TestSeededRunsKeepEveryPromise(t *testing.T) {
+	binary := build(t, nil)
+	for _, o := range kept(t) {
+		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
+			t.Parallel()
+			o.Binary, o.Folder = binary, t.TempDir()
+			report, err := Play(o)
+			require.NoError(t, err)
+			require.Empty(t, report.Findings)
+			require.Positive(t, report.Answered)
+		})
+	}
+}
--- /dev/null
+++ b/proof/soak/world.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"arbutusdeck/platform/standin"
+)
+
+// world is everything that runs: the daemons, the stand-ins, the links between them
+// and the callers.
+type world struct {
+	options Options
+	records *Records
+	store   *standin.Store
+	daemons []*daemon
+	fronts  []*Link // from callers, by entry
+	stores  []*Link // to the store, by entry
+	slots   []*slot
+	probing *http.Client
+
+	mu      sync.Mutex
+	version int
+	closing bool
+}
+
+// callersOfEntry is how many callers each entry has, beside the one that probes.
+const callersOfEntry = 3
+
+// seedEntries is how many entries the settings name to each other.
+const seedEntries = 3
+
+// lastingKey is never taken away.
+const lastingKey = "key-1"
+
+func markerPrefix(version int) string { return fmt.Sprintf("/m%d/", version) }
+func markerKey(version int) string    { return fmt.Sprintf("marker-key-%d", version) }
+
+func newWorld(o Options) (*world, error) {
+	w := &world{options: o, records: newRecords(), store: standin.NewStore(), probing: &http.Client{Timeout: time.Second}}
+	for range 3 {
+		w.configure()
+	}
+	for i := range o.Workers {
+		if err := w.addSlot(i); err != nil {
+			return w, err
+		}
+	}
+	var addresses, seeds []string
+	for i := range o.Entries {
+		addresses = append(addresses, newHost())
+		if i < seedEntries {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", addresses[i], portPeers))
+		}
+	}
+	for i, host := range addresses {
+		if err := w.addEntry(i, host, seeds); err != nil {
+			return w, err
+		}
+	}
+	return w, w.awaitReady()
+}
+
+// addSlot adds a backend server: each third one of the plain service.
+func (w *world) addSlot(index int) error {
+	link, err := NewLink("127.0.0.1:0", "")
+	if err != nil {
+		return err
+	}
+	service := engines
+	if index%3 == 2 {
+		service = plain
+	}
+	s := &slot{index: index, link: link, store: w.store, records: w.records, service: service}
+	w.slots = append(w.slots, s)
+	s.start()
+	return nil
+}
+
+func (w *world) addEntry(index int, host string, seeds []string) error {
+	toStore, err := NewLink("127.0.0.1:0", w.store.Address())
+	if err != nil {
+		return err
+	}
+	settings := settingsOf(index, host, toStore.Address(), seeds)
+	front, err := NewLink("127.0.0.1:0", settings.ListenAddress)
+	if err != nil {
+		return err
+	}
+	w.stores, w.fronts = append(w.stores, toStore), append(w.fronts, front)
+	d, err := newDaemon(index, w.options.Binary, w.options.Folder, settings, w.records)
+	if err != nil {
+		return err
+	}
+	w.daemons = append(w.daemons, d)
+	return nil
+}
+
+// readyBound is how long all daemons together may take to become ready: many start
+// at once on few processors.
+const readyBound = 60 * time.Second
+
+func (w *world) awaitReady() error {
+	give := time.Now().Add(readyBound)
+	for _, d := range w.daemons {
+		for !d.ready(w.probing) {
+			if time.Now().After(give) {
+				return fmt.Errorf("%s is not ready after %s", d.settings.Name, readyBound)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// configure writes the next version. Each brings a route and a key of its own and
+// takes away those of the version before the last.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	v := w.version
+	w.store.Put("op/config", standin.ConfigurationWith(v, []string{markerPrefix(v), markerPrefix(v - 1)}, []string{markerKey(v), markerKey(v - 1)}))
+	w.records.configured(v)
+}
+
+func (w *world) newest() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// strike carries out one step and returns when its fault is over.
+func (w *world) strike(step Step) error {
+	over := w.records.fault(step.Kind, step.Target)
+	defer over()
+	switch {
+	case step.Kind.onEntry():
+		return w.strikeEntry(step)
+	case step.Kind.onWorker():
+		w.strikeWorker(step, w.slots[step.Target])
+	default:
+		w.strikeStore(step)
+	}
+	return nil
+}
+
+func (w *world) strikeEntry(step Step) error {
+	d := w.daemons[step.Target]
+	switch step.Kind {
+	case EntryKilled:
+		d.kill()
+	case EntryPaused:
+		d.pause(step.For)
+	case EntryStopped:
+		d.stop()
+	case SettingsChanged:
+		return d.reload()
+	case FrontLink:
+		harm(w.fronts[step.Target], step)
+	case StoreLink:
+		harm(w.stores[step.Target], step)
+	}
+	return nil
+}
+
+func harm(link *Link, step Step) {
+	link.Harm(step.Link)
+	time.Sleep(step.For)
+	link.Heal()
+}
+
+// Times of the platform.
+const (
+	// rowLapse is how long a crashed server's row stays in the store.
+	rowLapse = 1500 * time.Millisecond
+	// leaveTime is how long a leaving server goes on serving.
+	leaveTime = drainBound + time.Second
+	// reuseAfter is how long an address stays unused.
+	reuseAfter = 2 * time.Second
+)
+
+func (w *world) strikeWorker(step Step, s *slot) {
+	if step.Kind == WorkerLink {
+		harm(s.link, step)
+		// What was silenced stays so for good; the fault is over with it.
+		s.link.Cut()
+		return
+	}
+	if step.Kind == WorkerMisbehaves {
+		s.misbehave(step.Habit)
+		time.Sleep(step.For)
+		s.misbehave(Sound)
+		return
+	}
+	if !s.busy.TryLock() {
+		return // it is already on its way out
+	}
+	defer s.busy.Unlock()
+	switch step.Kind {
+	case WorkerCrashed:
+		gone := s.crash()
+		time.Sleep(min(step.For, rowLapse))
+		s.unlist(gone)
+		time.Sleep(max(step.For-rowLapse, 0))
+	case WorkerLeaves:
+		s.leave()
+		time.Sleep(leaveTime)
+		s.unlist(s.current())
+		s.crash()
+	case AddressReused:
+		s.unlist(s.crash())
+		time.Sleep(reuseAfter)
+		w.swapService(s)
+	}
+	s.start()
+}
+
+// leastServers is how many servers each service keeps.
+const leastServers = 2
+
+// swapService makes the next server at a slot one of the other service, unless its
+// own would be left with too few.
+func (w *world) swapService(s *slot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	same := 0
+	for _, other := range w.slots {
+		if other.serves() == s.serves() {
+			same++
+		}
+	}
+	if same > leastServers {
+		s.swapService()
+	}
+}
+
+func (w *world) strikeStore(step Step) {
+	switch step.Kind {
+	case StoreRefuses:
+		w.store.Refuse(http.StatusServiceUnavailable)
+		time.Sleep(step.For)
+		w.store.Refuse(0)
+	case StoreForgets:
+		w.store.Forget()
+	case ConfigChanges:
+		w.configure()
+	case RowsLapse:
+		w.lapse(step.For)
+	}
+}
+
+// lapse takes the store away, loses the rows of all servers meanwhile, and brings
+// those of the living back within two seconds of its return.
+func (w *world) lapse(length time.Duration) {
+	w.store.Refuse(http.StatusServiceUnavailable)
+	for _, s := range w.slots {
+		key, _ := s.current().Row("")
+		w.store.Remove(key)
+	}
+	time.Sleep(length)
+	w.store.Refuse(0)
+	time.Sleep(rowsBack)
+	for _, s := range w.slots {
+		s.relist()
+	}
+}
+
+// rowsBack is when the rows are back after the store is; two seconds at the most.
+const rowsBack = 700 * time.Millisecond
+
+// call lets the callers of all entries run until the context is over.
+func (w *world) call(ctx context.Context, callers *sync.WaitGroup) {
+	for entry := range w.daemons {
+		for i := range callersOfEntry {
+			c := newCaller(fmt.Sprintf("c%d-%d", entry, i), entry, w.fronts[entry].Address(), w.options.Seed+uint64(entry*100+i), w.records, w.newest)
+			callers.Go(func() { c.run(ctx) })
+		}
+		// The probes go past the link: they show what the entry has in force.
+		p := newCaller(fmt.Sprintf("p%d", entry), entry, w.daemons[entry].settings.ListenAddress, w.options.Seed, w.records, w.newest)
+		callers.Go(func() { p.probe(ctx) })
+	}
+}
+
+// close ends everything that this run has started.
+func (w *world) close() {
+	var ends sync.WaitGroup
+	for _, d := range w.daemons {
+		ends.Go(d.close)
+	}
+	ends.Wait()
+	for _, s := range w.slots {
+		s.close()
+	}
+	for _, links := range [][]*Link{w.fronts, w.stores} {
+		for _, l := range links {
+			// Nothing uses the link any more.
+			_ = l.Close()
+		}
+	}
+	w.store.Refuse(http.StatusServiceUnavailable)
+	w.store.CloseClientConnections()
+	w.store.Close()
+	w.probing.CloseIdleConnections()
+}
