Let a repeated SIGTERM change nothing during a planned stop

Cause: the second signal of any kind ended a stop at once.

Ruled out: the limit of the stop (8 s), the balancer.

Change: only SIGINT, an operator at a terminal, ends a stop early.

Conclusion: the platform has SIGKILL for ending a process at once.

--- a/core/lifecycle/manager.go
+++ b/core/lifecycle/manager.go
@@ -135,7 +135,7 @@
 		m.move(Draining, Stopped)
 		return nil
 	case <-ctx.Done():
-		why = "a second signal came"
+		why = "SIGINT came during the stop"
 	case <-timer.C:
 		why = fmt.Sprintf("the limit of %s has passed", limit)
 	}
--- a/core/process/run.go
+++ b/core/process/run.go
@@ -77,8 +77,10 @@
 }
 
 // Main runs a daemon until a signal and then stops it as planned: no new work,
-// every open request finishes, then the exit. A second signal or the limit ends
-// it at once; the error then wraps lifecycle.ErrCut.
+// every open request finishes, then the exit. SIGINT during the stop or the limit
+// ends it at once; the error then wraps lifecycle.ErrCut. SIGTERM again does not: a
+// platform that repeats it, as when two rolling restarts overlap, would cut off the
+// requests that the first one let finish. It has SIGKILL for ending a process at once.
 func Main(ctx context.Context, daemon Daemon, stopLimit time.Duration) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -102,10 +104,15 @@
 	second, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-second.Done():
+		for {
+			select {
+			case again := <-signals:
+				if again == syscall.SIGINT {
+					cancel()
+				}
+			case <-second.Done():
+				return
+			}
 		}
 	}()
 	err := daemon.Manager().Wait(second, stopLimit)
--- a/core/process/version.go
+++ b/core/process/version.go
@@ -9,5 +9,5 @@
    1  failed; the message says why
    2  wrong flags or settings
    3  check: the configuration folder was refused
-   4  serve: stopped with requests still open (second signal, or stopLimit)
+   4  serve: stopped with requests still open (SIGINT during the stop, or stopLimit)
    5  serve: the address is taken, perhaps by a paused daemon`
