Keep entries that can't hear each other on different servers, and tell a started one what is open

Cause: an entry that is cut off from the others chooses as if they did nothing, and they as if it did nothing. A started or woken entry is as blind until what was open has ended.

Change: an entry that is unheard for 1.2 s is taken for cut off for 15 s. Every entry computes the same even division of the servers by hash, prefers its own and avoids those of the silent ones. An entry that is heard again, or for the first time, is told of all that is under way, once it knows the servers.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -24,6 +24,15 @@
 	Revision uint64 `json:"revision"`
 }
 
+// IDs returns the identifiers of servers, in their order.
+func IDs(servers []Server) []string {
+	ids := make([]string, 0, len(servers))
+	for _, server := range servers {
+		ids = append(ids, server.ID)
+	}
+	return ids
+}
+
 // Options bound what is believed.
 type Options struct {
 	// ReturnGrace is how long a server that is missing from the first list after
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -30,6 +30,9 @@
 	Ended []string             `cbor:"8,keyasint,omitempty"`
 	// Stopping says that the sender leaves.
 	Stopping bool `cbor:"9,keyasint,omitempty"`
+	// Starting says that the sender knows no backend servers yet; it could not
+	// book a request.
+	Starting bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Bounds of the exchange.
@@ -43,6 +46,12 @@
 	ForgetAfter = 40 * time.Second
 	// AliveAfter is how long an entry that is not heard of counts as running.
 	AliveAfter = 3 * time.Second
+	// SilentAfter is after how long an entry that is not heard of is taken for cut
+	// off: two heartbeats were missed. It still serves its callers, unheard.
+	SilentAfter = 1200 * time.Millisecond
+	// SilentFor is how long that is believed; one that is silent for longer is more
+	// likely gone. Partitions and suspensions last some seconds.
+	SilentFor = 15 * time.Second
 )
 
 type member struct {
@@ -53,6 +62,8 @@
 	version     uint64
 	revision    uint64
 	stopping    bool
+	// untold says that it has missed news and was not told of them yet.
+	untold bool
 }
 
 // Group is the entries as one of them knows them. It is not safe for concurrent
@@ -95,19 +106,44 @@
 }
 
 // Heard takes in who sent a message, and returns whether the sender is another
-// start than the one known: what it had begun before is over.
-func (g *Group) Heard(now time.Time, m Message) (restarted bool) {
+// start than the one known: what it had begun before is over. missed says, once, that it
+// was not heard of for a while, or never: it doesn't know what goes on here. For one that
+// is starting this waits until it can book requests.
+func (g *Group) Heard(now time.Time, m Message) (restarted, missed bool) {
 	known := g.add(now, m.From)
 	if known == nil {
-		return false
+		return false, false
 	}
 	restarted = known.incarnation != "" && known.incarnation != m.Incarnation
+	known.untold = known.untold || restarted || now.Sub(known.heard) >= SilentAfter
+	missed = known.untold && !m.Starting
+	if missed {
+		known.untold = false
+	}
 	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
 	known.version, known.revision = m.Version, m.Revision
 	for _, address := range m.Known {
 		g.add(now, address)
 	}
-	return restarted
+	return restarted, missed
+}
+
+// Silent returns the entries that are taken for cut off, and all that take part: this
+// one and those that are heard of or cut off.
+func (g *Group) Silent(now time.Time) (silent, all []string) {
+	all = []string{g.self}
+	for _, address := range g.Addresses() {
+		m := g.members[address]
+		quiet := now.Sub(m.heard)
+		if m.heard.IsZero() || m.stopping || quiet >= SilentFor {
+			continue
+		}
+		all = append(all, address)
+		if quiet >= SilentAfter {
+			silent = append(silent, address)
+		}
+	}
+	return silent, all
 }
 
 // Forget drops the members that were not heard of for long.
--- a/core/peering/group_test.go
+++ b/core/peering/group_test.go
@@ -27,9 +27,60 @@
 // servers that are free.
 func TestANewStartOfAnEntryIsNoticed(t *testing.T) {
 	g := New("c:1", "i", nil)
-	require.False(t, g.Heard(start, message("a:1", "x", 1, 1)))
-	require.False(t, g.Heard(start, message("a:1", "x", 1, 1)))
-	require.True(t, g.Heard(start, message("a:1", "y", 1, 1)))
+	heard := func(incarnation string) bool {
+		restarted, _ := g.Heard(start, message("a:1", incarnation, 1, 1))
+		return restarted
+	}
+	require.False(t, heard("x"))
+	require.False(t, heard("x"))
+	require.True(t, heard("y"))
+}
+
+// An entry that was cut off, or has just started, knows nothing of what goes on here.
+func TestAnEntryThatMissedNewsIsNoticed(t *testing.T) {
+	g := New("c:1", "i", nil)
+	missed := func(after time.Duration, incarnation string) bool {
+		_, missed := g.Heard(start.Add(after), message("a:1", incarnation, 1, 1))
+		return missed
+	}
+	require.True(t, missed(0, "x"), "it was never heard of")
+	require.False(t, missed(HeartbeatInterval, "x"))
+	require.True(t, missed(HeartbeatInterval+SilentAfter, "x"))
+	require.True(t, missed(HeartbeatInterval+SilentAfter, "y"), "it has started anew")
+}
+
+// A starting entry knows no servers yet and could not book what it is told. It is told
+// when it can.
+func TestAStartingEntryIsToldWhenItCanBook(t *testing.T) {
+	g := New("c:1", "i", nil)
+	starting := message("a:1", "x", 1, 1)
+	starting.Starting = true
+	_, missed := g.Heard(start, starting)
+	require.False(t, missed)
+	_, missed = g.Heard(start, message("a:1", "x", 1, 1))
+	require.True(t, missed)
+	_, missed = g.Heard(start, message("a:1", "x", 1, 1))
+	require.False(t, missed)
+}
+
+// An entry is cut off and goes on serving its callers. The others take it for silent
+// after two missed heartbeats, and for gone when it stays away; one that has said that
+// it stops is not missed.
+func TestSilentEntriesAreThoseThatMayStillServe(t *testing.T) {
+	g := New("c:1", "i", []string{"never:1"})
+	g.Heard(start, message("a:1", "x", 1, 1))
+	stopping := message("b:1", "x", 1, 1)
+	stopping.Stopping = true
+	g.Heard(start, stopping)
+	silent, all := g.Silent(start.Add(SilentAfter - time.Millisecond))
+	require.Empty(t, silent)
+	require.ElementsMatch(t, []string{"a:1", "c:1"}, all)
+	silent, all = g.Silent(start.Add(SilentAfter))
+	require.Equal(t, []string{"a:1"}, silent)
+	require.ElementsMatch(t, []string{"a:1", "c:1"}, all)
+	silent, all = g.Silent(start.Add(SilentFor))
+	require.Empty(t, silent)
+	require.Equal(t, []string{"c:1"}, all)
 }
 
 // An entry that can't be heard still spends its part of the shared budget of
--- /dev/null
+++ b/core/peering/owners.go
@@ -0,0 +1,49 @@
+package peering
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owners gives each server to one entry, in even numbers. While entries can't hear each
+// other each of them prefers its own servers and keeps away from those of the silent
+// ones: without a word they then meet nowhere. Entries that know the same entries and
+// servers compute the same. One entry or server more or less changes the owner of few
+// servers, since each goes to the entry that ranks highest for it by a hash of both and
+// still has room.
+func Owners(entries, servers []string) map[string]string {
+	owners := make(map[string]string, len(servers))
+	if len(entries) == 0 {
+		return owners
+	}
+	most := (len(servers) + len(entries) - 1) / len(entries)
+	taken := map[string]int{}
+	ordered := slices.Clone(servers)
+	slices.SortFunc(ordered, func(a, b string) int { return cmp.Compare(rank(a, ""), rank(b, "")) })
+	for _, server := range ordered {
+		owner, highest := "", uint64(0)
+		for _, entry := range entries {
+			if r := rank(entry, server); taken[entry] < most && (owner == "" || r > highest) {
+				owner, highest = entry, r
+			}
+		}
+		taken[owner]++
+		owners[server] = owner
+	}
+	return owners
+}
+
+func rank(entry, server string) uint64 { return xxhash.Sum64String(entry + "\x00" + server) }
+
+// ServersOf returns the servers that some entries own.
+func ServersOf(entries []string, owners map[string]string) map[string]bool {
+	theirs := map[string]bool{}
+	for server, owner := range owners {
+		if slices.Contains(entries, owner) {
+			theirs[server] = true
+		}
+	}
+	return theirs
+}
--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -7,7 +7,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"arbutusdeck/core/enginemodel"
@@ -77,10 +79,14 @@
 
 type active struct {
 	dispatch Dispatch
-	expires  time.Time
-	began    time.Time
+	// from is the entry that told of it, empty for this one's own.
+	from    string
+	expires time.Time
+	began   time.Time
 	// predicted is the time to the first event that was expected.
 	predicted time.Duration
+	// answering says that the first event has come.
+	answering bool
 }
 
 // Book is not safe for concurrent use.
@@ -116,12 +122,22 @@
 	}
 }
 
-// Begin books a dispatch; engine is nil for a plain service.
+// Begin books a dispatch of this entry; engine is nil for a plain service.
 func (b *Book) Begin(now time.Time, d Dispatch, engine *enginemodel.Engine, predicted time.Duration) {
+	b.begin(now, &active{dispatch: d, predicted: predicted}, engine)
+}
+
+// BeginFrom books a dispatch that another entry tells of.
+func (b *Book) BeginFrom(now time.Time, from string, d Dispatch, engine *enginemodel.Engine) {
+	b.begin(now, &active{dispatch: d, from: from}, engine)
+}
+
+func (b *Book) begin(now time.Time, a *active, engine *enginemodel.Engine) {
+	d := &a.dispatch
 	if b.active[d.ID] != nil {
 		return
 	}
-	a := &active{dispatch: d, expires: now.Add(d.Life), began: now, predicted: predicted}
+	a.began, a.expires = now, now.Add(d.Life)
 	b.active[d.ID] = a
 	for index, id := range append([]string{d.Server}, d.Helpers...) {
 		s := b.server(id, engine)
@@ -140,6 +156,7 @@
 	if a == nil {
 		return
 	}
+	a.answering = true
 	for index, name := range append([]string{a.dispatch.Server}, a.dispatch.Helpers...) {
 		s := b.servers[name]
 		if s == nil {
@@ -174,6 +191,15 @@
 	}
 }
 
+// EndFrom books that all that another entry told of is over: it has started anew.
+func (b *Book) EndFrom(now time.Time, from string) {
+	for id, a := range b.active {
+		if a.from == from {
+			b.End(now, id)
+		}
+	}
+}
+
 // Expire ends the dispatches whose time is over. Another entry that was killed or
 // cut off never tells of their ends.
 func (b *Book) Expire(now time.Time) {
@@ -306,5 +332,27 @@
 	return sum
 }
 
+// Open returns this entry's own dispatches that are under way, with what is left of
+// their times, and which of them have their first event. Another entry that has missed
+// them takes them in like new ones.
+func (b *Book) Open(now time.Time) (begun []Dispatch, first []string) {
+	for _, id := range slices.Sorted(maps.Keys(b.active)) {
+		a := b.active[id]
+		if a.from != "" || !now.Before(a.expires) {
+			continue
+		}
+		d := a.dispatch
+		d.Life = a.expires.Sub(now)
+		if d.Target > 0 {
+			d.Target = max(d.Target-now.Sub(a.began), time.Millisecond)
+		}
+		begun = append(begun, d)
+		if a.answering {
+			first = append(first, id)
+		}
+	}
+	return begun, first
+}
+
 // Active returns how many dispatches are booked.
 func (b *Book) Active() int { return len(b.active) }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -16,6 +16,8 @@
 	Engine  *enginemodel.Engine
 	// Exclude are servers that were tried in vain.
 	Exclude []string
+	// Avoid are servers that other entries may use unheard.
+	Avoid map[string]bool
 	// PromptTokens is 0 for a plain service.
 	PromptTokens int64
 	AnswerTokens int64
@@ -180,6 +182,9 @@
 	if listed.Zone != b.options.Zone {
 		c.loss += b.options.ZoneLoss
 	}
+	if q.Avoid[listed.ID] {
+		c.loss += b.options.UnheardLoss * b.value(q.PromptTokens)
+	}
 	if q.Engine == nil {
 		return c
 	}
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -64,6 +64,9 @@
 	// 6 0.798, without 0.788 (virtual time, mean of six loads and sizes); at 1.2
 	// times the usual load 0.702 and 0.640.
 	WorkPrice float64
+	// UnheardLoss is the share of a request's value that is believed lost at a
+	// server that an entry may use of which nothing is heard.
+	UnheardLoss float64
 	// NetworkTime is a connection's opening and the way there and back.
 	NetworkTime time.Duration
 }
@@ -72,5 +75,5 @@
 func DefaultOptions(zone string) Options {
 	return Options{Zone: zone, TokensPerValue: 8000, LateLoss: 0.75, ZoneLoss: 0.01, PackGain: 0.02, PackShare: 0.9,
 		ShortTokens: 24000, GapMargin: 10 * time.Millisecond, TargetShare: 1, MemoryShare: 0.85, UsualParts: 8, MaxParts: 16, PartLoss: 0.01,
-		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02, ShedShare: 1.5, WorkPrice: 3}
+		NetworkTime: 6 * time.Millisecond, WaitLateShare: 0.02, ShedShare: 1.5, WorkPrice: 3, UnheardLoss: 0.3}
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/wire"
@@ -46,11 +49,10 @@
 	pending  peering.Message
 	flushing bool
 	fetching bool
-	begun    map[string]map[string]bool // by sender: its open dispatches
 }
 
 func newPeerExchange(s *Server, group *peering.Group) *peerExchange {
-	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), begun: map[string]map[string]bool{}}
+	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout)}
 }
 
 func (p *peerExchange) router() http.Handler {
@@ -137,6 +139,7 @@
 	m.From, m.Incarnation = p.s.settings.PeerAddress, p.s.incarnation
 	m.Version, m.Revision = p.s.versions()
 	m.Stopping = p.s.stopping.Load() != nil
+	m.Starting = p.s.manager.State() == lifecycle.Starting
 	data, err := peering.Encode(m)
 	if err != nil {
 		p.s.log.WithError(err).Error("a message to the other entries could not be encoded")
@@ -199,46 +202,60 @@
 
 func (p *peerExchange) take(now time.Time, m peering.Message) {
 	p.mu.Lock()
-	restarted := p.group.Heard(now, m)
-	over := p.track(m, restarted)
+	restarted, missed := p.group.Heard(now, m)
 	p.mu.Unlock()
-	p.s.mu.Lock()
+	p.s.takeNews(now, m, restarted)
+	if missed {
+		p.tellOpen(now, m.From)
+	}
+}
+
+// takeNews books what another entry tells of. A restarted entry has lost all that it
+// had begun.
+func (s *Server) takeNews(now time.Time, m peering.Message, restarted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if restarted {
+		s.book.EndFrom(now, m.From)
+	}
 	for _, d := range m.Begun {
-		if engine, ok := p.s.engineOf(d.Server); ok {
-			p.s.book.Begin(now, d, engine, 0)
+		if engine, ok := s.engineOf(d.Server); ok {
+			s.book.BeginFrom(now, m.From, d, engine)
 		}
 	}
 	for _, id := range m.First {
-		p.s.book.FirstEvent(now, id)
+		s.book.FirstEvent(now, id)
 	}
-	for _, id := range over {
-		p.s.book.End(now, id)
+	for _, id := range m.Ended {
+		s.book.End(now, id)
 	}
-	p.s.mu.Unlock()
 }
 
-// track keeps which dispatches of a sender are open, and returns those that are
-// over: a restarted entry has lost all of its own.
-func (p *peerExchange) track(m peering.Message, restarted bool) []string {
-	open := p.begun[m.From]
-	over := m.Ended
-	if restarted {
-		for id := range open {
-			over = append(over, id)
-		}
-		open = nil
+// tellOpen tells an entry that has started or was cut off of all that is under way
+// here. It would send prompts to servers that are full until those have ended.
+func (p *peerExchange) tellOpen(now time.Time, target string) {
+	p.s.mu.Lock()
+	begun, first := p.s.book.Open(now)
+	p.s.mu.Unlock()
+	targets := []string{target}
+	for part := range slices.Chunk(begun, maxDispatches) {
+		p.send(targets, peering.Message{Begun: part})
 	}
-	if open == nil {
-		open = map[string]bool{}
-		p.begun[m.From] = open
+	if len(first) > 0 {
+		p.send(targets, peering.Message{First: first})
 	}
-	for _, d := range m.Begun {
-		open[d.ID] = true
-	}
-	for _, id := range m.Ended {
-		delete(open, id)
+}
+
+// unheard returns the servers that entries use of which nothing is heard; nil if all
+// entries are heard.
+func (p *peerExchange) unheard(now time.Time, servers []directory.Server) map[string]bool {
+	p.mu.Lock()
+	silent, all := p.group.Silent(now)
+	p.mu.Unlock()
+	if len(silent) == 0 {
+		return nil
 	}
-	return over
+	return peering.ServersOf(silent, peering.Owners(all, directory.IDs(servers)))
 }
 
 // catchUp takes over the view of a peer that knows more: the configuration always,
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -83,6 +83,7 @@
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
 	q.Servers = e.s.directory.Available(e.service.Name)
+	q.Avoid = e.s.peers.unheard(now, q.Servers)
 	return e.s.book.Choose(now, q)
 }
 
--- a/proof/forwarding/day.go
+++ b/proof/forwarding/day.go
@@ -8,6 +8,7 @@
 
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 )
 
@@ -15,7 +16,6 @@
 const (
 	toServerMs = 3.5 // opening a connection and the request's way
 	backMs     = 1.5 // an event's way back
-	newsMs     = 6   // gathering news and their way to other entries
 )
 
 // Outcome is what a class's callers got.
@@ -56,6 +56,8 @@
 	open    map[string]*request
 	result  *Result
 	serial  int
+	// owners names the entry that keeps each server while entries are cut off.
+	owners map[string]string
 }
 
 // request is one caller's request.
@@ -114,6 +116,7 @@
 		d.listed = append(d.listed, server)
 		d.engines[server.ID] = enginemodel.NewBatcher(site.Engine)
 	}
+	d.owners = peering.Owners(names(site.Entries, entryName), directory.IDs(d.listed))
 	for i := range site.Classes {
 		d.scheduleArrival(i, 0)
 	}
@@ -125,6 +128,14 @@
 	return d.result
 }
 
+func names(count int, name func(int) string) []string {
+	all := make([]string, count)
+	for i := range all {
+		all[i] = name(i)
+	}
+	return all
+}
+
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
 
 func (d *day) at(ms float64, do func()) {
@@ -160,7 +171,7 @@
 func (d *day) arrive(class int) {
 	c, out := &d.site.Classes[class], &d.result.Classes[class]
 	d.serial++
-	r := &request{id: fmt.Sprintf("r%d", d.serial), class: c, outcome: out, entry: d.random.IntN(d.site.Entries), arrived: d.now, lastAt: d.now}
+	r := &request{id: fmt.Sprintf("r%d", d.serial), class: c, outcome: out, entry: d.pickEntry(), arrived: d.now, lastAt: d.now}
 	r.prompt = int64(lognormal(d.random, c.Prompt, c.PromptSpread, c.PromptMax))
 	r.answer = int64(lognormal(d.random, c.Events, c.EventSpread, c.EventMax) * float64(d.site.Engine.Stride))
 	r.hint = int64(lognormal(d.random, float64(r.answer), d.site.HintSpread, 10*float64(r.answer)))
@@ -172,6 +183,16 @@
 	d.send(r)
 }
 
+// pickEntry draws the entry that a request comes to: any but the dead ones.
+func (d *day) pickEntry() int {
+	for {
+		entry := d.random.IntN(d.site.Entries)
+		if d.site.Dead == nil || !d.site.Dead(entry) {
+			return entry
+		}
+	}
+}
+
 // roundingMs covers the rounding of times that were added up.
 const roundingMs = 1e-6
 
@@ -190,6 +211,23 @@
 	})
 }
 
+// avoided returns the servers of the entries that one doesn't hear.
+func (d *day) avoided(entry int) map[string]bool {
+	now := enginemodel.Millis(d.now)
+	var silent []string
+	for other := range d.entries {
+		if other != entry && (d.site.cutOff(entry, now) || d.site.cutOff(other, now)) {
+			silent = append(silent, entryName(other))
+		}
+	}
+	if len(silent) == 0 || d.site.NoSlices {
+		return nil
+	}
+	return peering.ServersOf(silent, d.owners)
+}
+
+func entryName(entry int) string { return fmt.Sprintf("entry-%d", entry) }
+
 // maxTries bounds the choices whose reservations were refused.
 const maxTries = 3
 
@@ -199,7 +237,7 @@
 	}
 	book := d.entries[r.entry]
 	waited := enginemodel.Millis(d.now - r.arrived)
-	query := placement.Query{Servers: d.listed, Engine: &d.site.Engine, Exclude: r.excluded, PromptTokens: r.prompt, AnswerTokens: r.hint,
+	query := placement.Query{Servers: d.listed, Avoid: d.avoided(r.entry), Engine: &d.site.Engine, Exclude: r.excluded, PromptTokens: r.prompt, AnswerTokens: r.hint,
 		Target: max(r.class.Target-waited, time.Millisecond), Gap: r.class.Gap, Remaining: r.class.Deadline - waited, Tie: d.ties.Float64()}
 	choice, refusal := book.Choose(d.clock(), query)
 	if refusal != "" {
@@ -267,12 +305,16 @@
 }
 
 // everywhere does something at an entry now and at the others when the news has
-// reached them.
+// reached them. News to or from an entry that is cut off are lost.
 func (d *day) everywhere(entry int, do func(b *placement.Book, own bool)) {
 	do(d.entries[entry], true)
-	d.at(d.now+newsMs, func() {
+	sent := enginemodel.Millis(d.now)
+	if d.site.cutOff(entry, sent) {
+		return
+	}
+	d.at(d.now+float64(d.site.News)/float64(time.Millisecond), func() {
 		for i, b := range d.entries {
-			if i != entry {
+			if i != entry && !d.site.cutOff(i, sent) {
 				do(b, false)
 			}
 		}
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -173,3 +173,47 @@
 		b.Fatal(err)
 	}
 }
+
+// exchanges are ways in which entries know of each other's requests. Without delay is
+// more than a daemon beside each engine could tell them: it would know as exactly, but
+// its answer takes a way there and back.
+var exchanges = []struct {
+	name   string
+	change func(s *Site)
+}{
+	{"news at once", func(s *Site) { s.News = 0 }},
+	{"news after 3 ms", func(s *Site) { s.News = 3 * time.Millisecond }},
+	{"news after 6 ms", func(*Site) {}},
+	{"news after 20 ms", func(s *Site) { s.News = 20 * time.Millisecond }},
+	{"news after 200 ms", func(s *Site) { s.News = 200 * time.Millisecond }},
+	{"nothing exchanged", func(s *Site) { s.NoSlices, s.CutOff = true, func(int, time.Duration) bool { return true } }},
+	{"nothing, own servers", func(s *Site) { s.CutOff = func(int, time.Duration) bool { return true } }},
+	{"one cut off", func(s *Site) { s.NoSlices, s.CutOff = true, firstEntry }},
+	{"one cut off, own servers", func(s *Site) { s.CutOff = firstEntry }},
+	{"one dead", func(s *Site) { s.CutOff, s.Dead, s.NoSlices = firstEntry, firstOf(1), true }},
+	{"one dead, own servers", func(s *Site) { s.CutOff, s.Dead = firstEntry, firstOf(1) }},
+	{"all dead but one", func(s *Site) { s.CutOff, s.Dead, s.NoSlices = allCutOff, allButLast(s.Entries), true }},
+	{"all dead but one, own", func(s *Site) { s.CutOff, s.Dead = allCutOff, allButLast(s.Entries) }},
+}
+
+func firstEntry(entry int, _ time.Duration) bool { return entry == 0 }
+func allCutOff(int, time.Duration) bool          { return true }
+func firstOf(count int) func(int) bool           { return func(entry int) bool { return entry < count } }
+func allButLast(count int) func(int) bool        { return firstOf(count - 1) }
+
+// BenchmarkExchange compares what entries exchange, over both sizes of a deployment.
+func BenchmarkExchange(b *testing.B) {
+	for _, x := range exchanges {
+		for _, c := range []struct {
+			name  string
+			site  Site
+			seeds int
+		}{{"usual", Zagara(1), 60}, {"grown", ZagaraGrown(1), 12}} {
+			x.change(&c.site)
+			options := placement.DefaultOptions("")
+			require.NoError(b, vary(&options, os.Getenv("ARBUTUS_TUNING")))
+			total := playSeeds(c.site, c.seeds, options)
+			fmt.Fprintf(os.Stderr, "%-26s %-6s worth %.3f\n", x.name, c.name, total.Worth())
+		}
+	}
+}
