Let a misbehaving server of the soak show every habit, and show each checker red

Change: each request draws its habit by its own name; a reused address is still named by the old row; a series may strike one target again and again.

--- a/proof/soak/plan.go
+++ b/proof/soak/plan.go
@@ -54,8 +54,6 @@
 	Target int
 	// Link is what happens on a link.
 	Link LinkFault
-	// Habit is how a backend server misbehaves.
-	Habit Habit
 }
 
 // weights are how often each kind is drawn.
@@ -73,8 +71,10 @@
 	// of faults; large runs have more of them at once.
 	meanGap = 500 * time.Millisecond
 	// seriesShare is how many draws come as a series, of up to seriesMost
-	// strikes on one target after the other.
+	// strikes on one target after the other, or againShare of them on the same one
+	// again and again.
 	seriesShare = 0.3
+	againShare  = 0.4
 	seriesMost  = 4
 	seriesGap   = 400 * time.Millisecond
 	// longestFault bounds a fault; the shortest lasts a tenth of it.
@@ -102,11 +102,14 @@
 		count = 2 + random.IntN(seriesMost-1)
 	}
 	first := draw(random, o)
+	again := random.Float64() < againShare
 	var steps []Step
 	for i := range count {
 		step := first
 		step.At = at + time.Duration(i)*seriesGap
-		step.Target = (first.Target + i) % o.targets(first.Kind)
+		if !again {
+			step.Target = (first.Target + i) % o.targets(first.Kind)
+		}
 		if step.At < o.Length {
 			step.For = min(step.For, o.Length-step.At)
 			steps = append(steps, step)
@@ -140,5 +143,5 @@
 		left -= w.weight
 	}
 	return Step{Kind: kind, Target: random.IntN(o.targets(kind)), For: time.Duration((0.1 + 0.9*random.Float64()) * float64(longestFault)),
-		Link: linkFaults[random.IntN(len(linkFaults))], Habit: habits[random.IntN(len(habits))]}
+		Link: linkFaults[random.IntN(len(linkFaults))]}
 }
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -12,7 +12,7 @@
 	"arbutusdeck/platform/standin"
 )
 
-// Habit is how a backend server misbehaves towards a part of its requests.
+// Habit is how a backend server misbehaves towards a request.
 type Habit string
 
 // Habits.
@@ -51,8 +51,9 @@
 	service string
 	serial  int
 	worker  *standin.Worker
-	habit   Habit
-	ending  sync.WaitGroup
+	// misbehaves says that a part of the requests meet some habit.
+	misbehaves bool
+	ending     sync.WaitGroup
 	// busy is held while the server is on its way out and until the next one runs.
 	busy sync.Mutex
 }
@@ -69,7 +70,6 @@
 	}
 	w.Script = func(out http.ResponseWriter, r *http.Request) { s.serve(w, out, r) }
 	s.worker = w
-	w.Refuse.Store(s.habit == Refuses)
 	s.link.Retarget(w.Address())
 	s.store.Put(w.Row("ready"))
 }
@@ -127,11 +127,20 @@
 	}
 }
 
-func (s *slot) misbehave(habit Habit) {
+func (s *slot) misbehave(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.habit = habit
-	s.worker.Refuse.Store(habit == Refuses)
+	s.misbehaves = on
+}
+
+// habit is what a request meets here now.
+func (s *slot) habit(id string) Habit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.misbehaves || pick(id, "habit", 100) >= habitShare {
+		return Sound
+	}
+	return habits[pick(id, "which", len(habits))]
 }
 
 // current is the server that runs now.
@@ -148,18 +157,17 @@
 
 func (s *slot) serve(w *standin.Worker, out http.ResponseWriter, r *http.Request) {
 	told := standin.RunOf(r)
+	habit := s.habit(told.ID)
+	if habit == Refuses {
+		standin.NotRun(out, r)
+		return
+	}
 	wait, _ := strconv.Atoi(told.Remaining)
 	run := &Run{ID: told.ID, Worker: w.ID, Service: w.Service, Workspace: told.Workspace, Slot: s.index, Key: told.Header.Get("Authorization"), Began: time.Now(),
 		LastEvent: told.LastEventID, Remaining: time.Duration(wait) * time.Millisecond}
 	s.records.run(run)
 	status := 0
 	defer func() { s.records.ended(run, status) }()
-	s.mu.Lock()
-	habit := s.habit
-	s.mu.Unlock()
-	if pick(run.ID, "habit", 100) >= habitShare {
-		habit = Sound
-	}
 	if habit != Sound && habit != Hesitates {
 		s.records.spoiled(run)
 	}
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -191,9 +191,9 @@
 		return
 	}
 	if step.Kind == WorkerMisbehaves {
-		s.misbehave(step.Habit)
+		s.misbehave(true)
 		time.Sleep(step.For)
-		s.misbehave(Sound)
+		s.misbehave(false)
 		return
 	}
 	if !s.busy.TryLock() {
@@ -212,9 +212,14 @@
 		s.unlist(s.current())
 		s.crash()
 	case AddressReused:
-		s.unlist(s.crash())
+		gone := s.crash()
 		time.Sleep(reuseAfter)
 		w.swapService(s)
+		s.start()
+		// The old row names the same address until it lapses.
+		time.Sleep(rowLapse)
+		s.unlist(gone)
+		return
 	}
 	s.start()
 }
