Deliver a server's own failure when no other server is left

Change: the newest whole failure of a server is kept and delivered if no try succeeds.

Test: TestAServersOwnFailureIsDeliveredIfNoOtherServerIsLeft, red before (502).

Conclusion: a failure with the server's signature says that it ran and how it ended.

--- a/entry/gateway/answers.go
+++ b/entry/gateway/answers.go
@@ -16,16 +16,27 @@
 	"arbutusdeck/platform"
 )
 
-// conclude gives the final answer of a request that no server answered.
+// conclude gives the final answer of a request that no server answered with success. A
+// server's own failure goes before one of the entry's: it is an answer, and says more.
 func (e *exchange) conclude(c *execution.Conclusion) {
 	if errors.Is(e.r.Context().Err(), context.Canceled) {
 		e.s.counters.gone.Inc(1)
 		e.log("caller gone", "").WithFields(logrus.Fields{"sent": c.Attempts, "outcome": c.Outcome.String()}).Info("request ended")
 		panic(http.ErrAbortHandler)
 	}
+	if e.failure != nil && !e.begun {
+		e.deliverFailure()
+		return
+	}
 	e.fail(statusOf(c), c)
 }
 
+// deliverFailure gives the caller a server's own failure.
+func (e *exchange) deliverFailure() {
+	e.failure.deliver(e)
+	e.succeed()
+}
+
 func statusOf(c *execution.Conclusion) int {
 	switch {
 	case c.Outcome == execution.NotRun:
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -41,6 +41,8 @@
 	core      *execution.Forward
 	// draw divides requests between services, and breaks ties.
 	draw float64
+	// failure is the newest whole answer of a server that tells of a failure.
+	failure *heldAnswer
 	// begun says that the answer's headers have gone out.
 	begun bool
 	// lastEvent is the identifier of the last event that was delivered.
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -312,6 +312,24 @@
 	require.Equal(t, 2, w.runs())
 }
 
+// The only server of a service answers an idempotent request with a failure of its own.
+// Another try is allowed, but there is nobody to send it to. The caller gets the
+// server's answer, with its signature, in place of a failure of the entry's.
+func TestAServersOwnFailureIsDeliveredIfNoOtherServerIsLeft(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", func(out http.ResponseWriter, _ *http.Request) {
+		out.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(out, "failure of i-1")
+	})
+	s := w.serve()
+	r := w.call(s, http.MethodGet, "/read/", 0, "")
+	require.Equal(t, 500, r.status, r.body)
+	require.Equal(t, "failure of i-1", r.body)
+	require.Equal(t, "signed-by-i-1", r.signature)
+	require.Equal(t, 1, w.runs())
+}
+
 // A prompt of 500,000 tokens is held in reservations at several workers, named to
 // the first one with their tickets; all memory is given back afterwards.
 func TestAHugePromptIsHeldInReservations(t *testing.T) {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -41,6 +41,9 @@
 			return
 		}
 		e.logTry(result)
+		if result.answer != nil {
+			e.failure = result.answer
+		}
 		if result.conclusion != nil {
 			e.conclude(result.conclusion)
 			return
@@ -48,8 +51,7 @@
 		step := e.core.Ended(time.Now(), result.ForwardResult)
 		switch {
 		case step.UseAnswer:
-			result.answer.deliver(e)
-			e.succeed()
+			e.deliverFailure()
 			return
 		case step.Conclusion != nil:
 			e.conclude(step.Conclusion)
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -53,6 +53,7 @@
 	{"a started entry is told of what is open", "entry/gateway/peers.go", "	if missed {\n", "	if missed && false {\n", gatewayPkg, "TestAStartedEntryIsTold"},
 	{"silent entries reach the choice", "entry/gateway/run.go", "	q.Avoid = e.s.peers.unheard(now, q.Servers)\n", "", gatewayPkg, "TestEntriesThatDoNotHear"},
 	{"a starting entry is told when it can book", "core/peering/group.go", "known.untold && !m.Starting", "known.untold", peeringPkg, "TestAStartingEntryIsTold"},
+	{"a server's own failure is delivered", "entry/gateway/answers.go", "	if e.failure != nil && !e.begun {", "	if false {", gatewayPkg, "TestAServersOwnFailure"},
 	{"an answer of another request", "entry/gateway/try.go", "	if answer.ID != \"\" && answer.ID != e.info.ID {", "	if false {", gatewayPkg, "TestAnIdempotent"},
 	{"an unsigned or encoded success", "entry/gateway/try.go", "	if success && (!answer.Signed || answer.Encoded) {", "	if false {", gatewayPkg, "TestAnIdempotent"},
 	{"a shortened answer", "entry/gateway/try.go", "bufferedAnswer+1))\n	if err != nil {", "bufferedAnswer+1))\n	if err != nil && len(body) == 0 {", gatewayPkg, "TestAnIdempotent"},
