Tell a few entries at a time of all others

Change: a heartbeat tells two by turns, and an entry that joins is told at once.

Ruled out: fewer heartbeats (silence is noticed by two missed ones).

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -54,6 +54,11 @@
 	SilentFor = 15 * time.Second
 )
 
+// listsPerHeartbeat is how many entries a heartbeat tells of all others. One that is heard
+// for the first time is told at once, so that a start needs no turn; the turns mend what
+// was lost. With 28 entries two lists in place of 27 save 24 KB a second and entry.
+const listsPerHeartbeat = 2
+
 type member struct {
 	address     string
 	incarnation string
@@ -105,19 +110,28 @@
 	return m
 }
 
-// Heard takes in who sent a message, and returns whether the sender is another
-// start than the one known: what it had begun before is over. missed says, once, that it
-// was not heard of for a while, or never: it doesn't know what goes on here. For one that
-// is starting this waits until it can book requests.
-func (g *Group) Heard(now time.Time, m Message) (restarted, missed bool) {
+// Sender is what is known of the sender of a message.
+type Sender struct {
+	// Restarted: it is another start than the one known; what that had begun is over.
+	Restarted bool
+	// Joined: it is heard for the first time, or again after a silence.
+	Joined bool
+	// Missed, once: it joined and does not know what goes on here. For one that is
+	// starting this waits until it can book requests.
+	Missed bool
+}
+
+// Heard takes in who sent a message.
+func (g *Group) Heard(now time.Time, m Message) Sender {
 	known := g.add(now, m.From)
 	if known == nil {
-		return false, false
+		return Sender{}
 	}
-	restarted = known.incarnation != "" && known.incarnation != m.Incarnation
-	known.untold = known.untold || restarted || now.Sub(known.heard) >= SilentAfter
-	missed = known.untold && !m.Starting
-	if missed {
+	sender := Sender{Restarted: known.incarnation != "" && known.incarnation != m.Incarnation}
+	sender.Joined = sender.Restarted || now.Sub(known.heard) >= SilentAfter
+	known.untold = known.untold || sender.Joined
+	sender.Missed = known.untold && !m.Starting
+	if sender.Missed {
 		known.untold = false
 	}
 	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
@@ -125,7 +139,22 @@
 	for _, address := range m.Known {
 		g.add(now, address)
 	}
-	return restarted, missed
+	return sender
+}
+
+// TellOf picks the entries that a heartbeat tells of all others: a few by turns, since
+// the list grows with the entries, and with it would grow each message to each of them.
+// turn counts the heartbeats.
+func (g *Group) TellOf(turn int) (told, rest []string) {
+	all := g.Addresses()
+	for i, address := range all {
+		if (i+turn*listsPerHeartbeat)%max(len(all), 1) < listsPerHeartbeat {
+			told = append(told, address)
+		} else {
+			rest = append(rest, address)
+		}
+	}
+	return told, rest
 }
 
 // Silent returns the entries that are taken for cut off, and all that take part: this
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -170,13 +170,15 @@
 func (p *peerExchange) heartbeats(t *tomb.Tomb) error {
 	ticker := time.NewTicker(peering.HeartbeatInterval)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		now := time.Now()
 		p.mu.Lock()
 		p.group.Forget(now)
-		all, known := p.group.Addresses(), p.group.Alive(now)
+		told, rest := p.group.TellOf(turn)
+		known := p.group.Alive(now)
 		p.mu.Unlock()
-		p.send(all, peering.Message{Known: known})
+		p.send(told, peering.Message{Known: known})
+		p.send(rest, peering.Message{})
 		p.catchUp(now)
 		select {
 		case <-ticker.C:
@@ -210,10 +212,13 @@
 
 func (p *peerExchange) take(now time.Time, m peering.Message) {
 	p.mu.Lock()
-	restarted, missed := p.group.Heard(now, m)
+	sender := p.group.Heard(now, m)
 	p.mu.Unlock()
-	p.s.takeNews(now, m, restarted)
-	if missed {
+	p.s.takeNews(now, m, sender.Restarted)
+	if sender.Joined {
+		p.tellKnown(now, m.From)
+	}
+	if sender.Missed {
 		p.tellOpen(now, m.From)
 	}
 }
@@ -239,6 +244,14 @@
 	}
 }
 
+// tellKnown tells an entry of all others.
+func (p *peerExchange) tellKnown(now time.Time, target string) {
+	p.mu.Lock()
+	known := p.group.Alive(now)
+	p.mu.Unlock()
+	p.send([]string{target}, peering.Message{Known: known})
+}
+
 // tellOpen tells an entry that has started or was cut off of all that is under way
 // here. It would send prompts to servers that are full until those have ended.
 func (p *peerExchange) tellOpen(now time.Time, target string) {
