End connections to servers and store after 1.7 s of silence

Cause: connections carried short keep-alive probes, meant to find a silent server within two seconds, and a user timeout of 8 s. The kernel counts unanswered probes only where no user timeout is set, so silence lasted 8 s on a real host; callers of short prompts leave after two.

Change: the user timeout of these connections is 1.7 s.

--- a/core/netopts/netopts.go
+++ b/core/netopts/netopts.go
@@ -19,13 +19,21 @@
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}
 
 // Control sets UserTimeout on a socket; an accepted one inherits it.
-func Control(_, _ string, connection syscall.RawConn) error {
-	var failed error
-	err := connection.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+func Control(network, address string, connection syscall.RawConn) error {
+	return ControlFor(UserTimeout)(network, address, connection)
+}
+
+// ControlFor sets a user timeout on a socket. It also bounds how long keep-alive probes
+// stay unanswered: the kernel counts them only where no user timeout is set.
+func ControlFor(timeout time.Duration) func(network, address string, connection syscall.RawConn) error {
+	return func(_, _ string, connection syscall.RawConn) error {
+		var failed error
+		err := connection.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -85,6 +85,12 @@
 // start runs an entry until the test ends.
 func (w *world) start(settings Settings) *Server {
 	s := New(Options{Settings: settings, Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	w.run(s)
+	return s
+}
+
+// run starts an entry that ends with the test.
+func (w *world) run(s *Server) {
 	t := &tomb.Tomb{}
 	t.Go(func() error {
 		<-t.Dying()
@@ -95,7 +101,6 @@
 		t.Kill(nil)
 		require.NoError(w.t, t.Wait())
 	})
-	return s
 }
 
 // serve runs an entry and waits until it is ready.
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -136,19 +136,26 @@
 // ran, and an answer that comes twice or late would be taken for the next one. A
 // new connection costs a millisecond.
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: serverKeepAlive, Control: netopts.Control}
-	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
 }
 
-// serverKeepAlive finds a backend server or store that went silent without a
-// reset after some two seconds: shorter than a caller of a short prompt waits
-// between events.
-var serverKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 700 * time.Millisecond, Interval: 500 * time.Millisecond, Count: 2}
+// newDialer opens connections to backend servers and to the store.
+func newDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: serverKeepAlive, Control: netopts.ControlFor(serverSilence)}
+}
+
+// serverSilence is how long a backend server or the store may acknowledge nothing. One
+// that is cut off sends no reset; a caller of a short prompt leaves after two seconds
+// without an event, and a stream that is to go on elsewhere has to be broken off before.
+const serverSilence = 1700 * time.Millisecond
+
+// serverKeepAlive asks for an acknowledgement where nothing is sent. The kernel counts in
+// whole seconds, so that silence is found after two.
+var serverKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // storeClient keeps its one connection to the store.
 func storeClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: serverKeepAlive, Control: netopts.Control}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
+	return &http.Client{Transport: &http.Transport{DialContext: newDialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
 		IdleConnTimeout: time.Minute}}
 }
 
--- /dev/null
+++ b/entry/gateway/silence_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"arbutusdeck/core/audit"
+	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/core/process"
+)
+
+// A backend server or the store is cut off and sends no reset. The kernel ends the
+// connection only if a user timeout is set; keep-alive probes make it look where nothing
+// is sent. The user timeout goes before the number of probes, so both have to be short.
+func TestConnectionsToServersEndInSilence(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	connection, err := newDialer().Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, connection.Close()) }()
+	raw, err := connection.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	read := func(option int) int {
+		value := 0
+		var failed error
+		require.NoError(t, raw.Control(func(fd uintptr) { value, failed = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) }))
+		require.NoError(t, failed)
+		return value
+	}
+	require.EqualValues(t, serverSilence.Milliseconds(), read(unix.TCP_USER_TIMEOUT))
+	require.Equal(t, 1, read(unix.TCP_KEEPIDLE), "the kernel counts in seconds")
+	require.Equal(t, 1, read(unix.TCP_KEEPINTVL))
+	require.Less(t, serverSilence, 2*time.Second, "the shortest patience of a caller")
+}
+
+// The store accepts connections and never answers: nothing comes, not even a reset. An
+// entry that starts then gets configuration and servers from another entry and serves.
+func TestASilentStoreIsPassedOver(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	first := w.serve()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, listener.Close()) })
+	settings := w.settings(first.settings.PeerAddress)
+	settings.Store = listener.Addr().String()
+	second := w.start(settings)
+	w.eventually("the second serves", func() bool { return second.manager.State() == lifecycle.Serving })
+	require.Equal(t, 200, w.call(second, http.MethodGet, "/read/", 0, "").status)
+}
+
+// The settings file changes and no signal tells of it. The changed settings come into
+// force; a file that does not hold changes nothing.
+func TestSettingsThatChangeWithoutASignal(t *testing.T) {
+	w := newWorld(t)
+	settings := w.settings()
+	path := filepath.Join(t.TempDir(), "entry.yaml")
+	write := func(ratio float64) {
+		settings.RetryRatio = ratio
+		content, err := yaml.Marshal(settings)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, content, 0o600))
+	}
+	write(0.2)
+	s := New(Options{Settings: settings, SettingsPath: path, Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	w.run(s)
+	ratio := func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.settings.RetryRatio
+	}
+	write(0.3)
+	w.eventually("the change is in force", func() bool { return ratio() == 0.3 })
+	require.NoError(t, os.WriteFile(path, []byte("retryRatio: -1\n"), 0o600))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	write(0.4)
+	w.eventually("a later good change is in force", func() bool { return ratio() == 0.4 })
+}
+
+// The host was suspended for three seconds. What was booked is over by now, or has gone
+// on without this process; choices must not rest on it.
+func TestASuspendedHostForgetsLoads(t *testing.T) {
+	s := New(Options{Settings: newWorld(t).settings(), Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	now := time.Now()
+	s.lookForPause(now)
+	s.book.Begin(now, placement.Dispatch{ID: "a", Server: "i-1", Life: time.Minute}, nil, 0)
+	s.lookForPause(now)
+	require.True(t, s.booked(1)(), "no pause")
+	s.pause.Tick(boottime(now).Add(-3 * time.Second))
+	s.lookForPause(now)
+	require.True(t, s.booked(0)())
+}
+
+// The time that counts while the host is suspended goes on like the monotonic one and
+// does not follow the time of day.
+func TestBoottimeGoesOn(t *testing.T) {
+	before := boottime(time.Now())
+	after := boottime(time.Now().Add(-time.Hour))
+	require.False(t, after.Before(before), fmt.Sprint(before, after))
+}
