--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"gonum.org/v1/plot/plotter"
 
 	"arbutusdeck/core/placement"
 )
@@ -30,6 +31,7 @@
 	{"undivided", func(o *placement.Options) { o.UsualParts, o.MaxParts = 1, 1 }},
 	{"at most four parts", func(o *placement.Options) { o.UsualParts, o.MaxParts = 4, 4 }},
 	{"answers spread", func(o *placement.Options) { o.PackGain = 0 }},
+	{"next ones don't count", func(o *placement.Options) { o.WorkPrice = 0 }},
 	{"late ones don't wait", func(o *placement.Options) { o.WaitLateShare = 1e9 }},
 	{"memory to the brim", func(o *placement.Options) { o.MemoryShare = 1 }},
 }
@@ -140,15 +142,19 @@
 	}
 }
 
-// BenchmarkPolicies compares the policies at several loads as a table, and as CSV in
-// the file that ARBUTUS_CSV names.
+// BenchmarkPolicies compares the policies at several loads as a table, as CSV in the file
+// that ARBUTUS_CSV names, and as a plot (SVG, PNG or PDF) in the one that ARBUTUS_PLOT
+// names.
 func BenchmarkPolicies(b *testing.B) {
 	const seeds = 100
 	rows := [][]string{{"policy", "load", "class", "worth", "late first", "late gap", "failed", "asked", "first p50 ms", "first p95 ms"}}
+	curves := make([]curve, len(policies))
 	for _, load := range []float64{0.7, 1, 1.2} {
-		for _, p := range policies {
+		for i, p := range policies {
+			curves[i].name = p.name
 			site := Zagara(load)
 			total := playSeeds(site, seeds, optionsOf(p))
+			curves[i].points = append(curves[i].points, plotter.XY{X: load, Y: total.Worth()})
 			fmt.Fprintf(os.Stderr, "%-22s load %.1f worth %.3f", p.name, load, total.Worth())
 			for i, c := range total.Classes {
 				slices.Sort(c.FirstMs)
@@ -160,18 +166,24 @@
 			fmt.Fprintln(os.Stderr)
 		}
 	}
-	path := os.Getenv("ARBUTUS_CSV")
-	if path == "" {
-		return
+	if path := os.Getenv("ARBUTUS_PLOT"); path != "" {
+		require.NoError(b, drawCurves(path, curves))
 	}
+	if path := os.Getenv("ARBUTUS_CSV"); path != "" {
+		require.NoError(b, writeCSV(path, rows))
+	}
+}
+
+func writeCSV(path string, rows [][]string) error {
 	file, err := os.Create(path)
 	if err != nil {
-		b.Fatal(err)
+		return fmt.Errorf("the table: %w", err)
 	}
 	defer file.Close()
 	if err := csv.NewWriter(file).WriteAll(rows); err != nil {
-		b.Fatal(err)
+		return fmt.Errorf("the table %s: %w", path, err)
 	}
+	return nil
 }
 
 // exchanges are ways in which entries know of each other's requests. Without delay is
