--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -12,9 +12,9 @@
 }
 
 // waitFor holds a prompt back at the entry while others, those that come next among
-// them, would lose too much by its read. A prompt that can still be in time goes unless others lose more than it
-// does by being late; one that is late anyway waits for a moment at which it costs
-// hardly anything, as long as enough of its time is left.
+// them, would lose too much by its read. A prompt that can still be in time goes unless
+// others lose more than it does by being late; one that is late anyway waits for a
+// moment at which it costs hardly anything, as long as enough of its time is left.
 func (b *Book) waitFor(best Choice, q Query) time.Duration {
 	next := best.Predicted + waitInterval
 	if q.PromptTokens <= b.options.ShortTokens || next > q.Remaining*3/4 {
--- a/proof/mutations/mutations_test.go
+++ b/proof/mutations/mutations_test.go
@@ -4,8 +4,6 @@
 package mutations
 
 import (
-	"encoding/json"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
@@ -15,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	_ "arbutusdeck/proof/lab" // the cache of test results must see the cores
+	"arbutusdeck/proof/removal"
 )
 
 // mutation removes one safeguard.
@@ -111,17 +110,9 @@
 
 // runWithout runs a mutation's test with the safeguard overlaid.
 func runWithout(t *testing.T, top string, m mutation) (string, error) {
-	path := filepath.Join(top, m.file)
-	source, err := os.ReadFile(path)
+	overlay, err := removal.Overlay(top, t.TempDir(), removal.Change{File: m.file, Old: m.old, New: m.new})
 	require.NoError(t, err)
-	require.Equal(t, 1, strings.Count(string(source), m.old), "the safeguard's text must stand once in %s", m.file)
-	changed := filepath.Join(t.TempDir(), filepath.Base(path))
-	require.NoError(t, os.WriteFile(changed, []byte(strings.Replace(string(source), m.old, m.new, 1)), 0o600))
-	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
-	require.NoError(t, err)
-	overlayPath := filepath.Join(t.TempDir(), "overlay.json")
-	require.NoError(t, os.WriteFile(overlayPath, overlay, 0o600))
-	command := exec.Command("go", "test", "-count=1", "-vet=off", "-failfast", "-timeout", "3m", "-overlay", overlayPath, "-run", "^("+m.test+")", m.pkg)
+	command := exec.Command("go", "test", "-count=1", "-vet=off", "-failfast", "-timeout", "3m", "-overlay", overlay, "-run", "^("+m.test+")", m.pkg)
 	command.Dir = top
 	output, err := command.CombinedOutput()
 	return string(output), err
--- a/proof/soak/removal_test.go
+++ b/proof/soak/removal_test.go
@@ -4,42 +4,45 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/proof/removal"
 )
 
-// removal takes one safeguard out of the program. The soak must then find that the
-// promise is broken.
-type removal struct {
+// broken is a promise, and the change that takes its safeguard out of the program. The
+// soak must then find that it is broken.
+type broken struct {
 	promise string
-	file    string
-	old     string
-	new     string
+	change  removal.Change
+}
+
+func without(file, old, new string) removal.Change {
+	return removal.Change{File: file, Old: old, New: new}
 }
 
 // removals cover the promises that a program can be made to break. The remaining ones
 // are shown red on records alone.
-var removals = []removal{
-	{"at most once", "core/execution/forward.go", "		return true\n	}\n	return false\n", "		return true\n	}\n	return true\n"},
-	{"not run is true", "core/execution/forward.go", "	f.maybeRan = true\n	return f.again(now, f.mayRepeat(result)", "	return f.again(now, f.mayRepeat(result)"},
-	{"the whole answer to its own request", "entry/gateway/try.go", "	if answer.ID != \"\" && answer.ID != e.info.ID {", "	if false {"},
-	{"the whole answer to its own request", "entry/gateway/stream.go", "		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {",
-		"		if err != nil && len(raw) > 0 {\n			return event{raw: append(raw, line...)}, nil\n		}\n		if err != nil {"},
-	{"the workspace of the key", "platform/messages.go", "	for _, name := range ownHeaders {\n		h.Del(name)\n	}\n", ""},
-	{"no more time than is left", "platform/messages.go", "max(f.Remaining.Milliseconds(), 1)", "f.Remaining.Milliseconds()+5000"},
-	{"no proper request is denied", "entry/gateway/front.go", "	if e.table == nil {\n		e.refuse(http.StatusServiceUnavailable", "	if e.table == nil {\n		e.refuse(http.StatusNotFound"},
-	{"memory comes back", "entry/gateway/reservation.go", "		r.done.Wait()\n		r.release()\n", "		r.renew(context.Background())\n"},
-	{"a planned stop ends in time", "core/process/run.go", "				if again == syscall.SIGINT {", "				if again != nil {"},
-	{"nothing is cut", "entry/gateway/front.go", "	s.manager.Join()\n	defer s.manager.End()\n", ""},
-	{"a caller that leaves ends the work", "entry/gateway/run.go", "context.WithDeadline(e.r.Context(), e.deadline)", "context.WithDeadline(context.Background(), e.deadline)"},
-	{"an answer or a failure in time", "entry/gateway/run.go", "context.WithDeadline(e.r.Context(), e.deadline)", "context.WithDeadline(e.r.Context(), e.deadline.Add(9*time.Second))"},
-	{"a configuration is in force in time", "entry/gateway/platformloop.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n"},
-	{"a leaving server gets nothing new", "core/directory/directory.go", "		if !known.Leaving {\n", "		if true {\n"},
-	{"no process ends by itself", "entry/gateway/settingsloop.go", "	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds", "	os.Exit(1)\n	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds"},
-	{"retries keep to their budget", "entry/gateway/run.go", "	return s.budget(service).Take(now)\n", "	return true\n"},
+var removals = []broken{
+	{"at most once", without("core/execution/forward.go", "		return true\n	}\n	return false\n", "		return true\n	}\n	return true\n")},
+	{"not run is true", without("core/execution/forward.go", "	f.maybeRan = true\n	return f.again(now, f.mayRepeat(result)", "	return f.again(now, f.mayRepeat(result)")},
+	{"the whole answer to its own request", without("entry/gateway/try.go", "	if answer.ID != \"\" && answer.ID != e.info.ID {", "	if false {")},
+	{"the whole answer to its own request", without("entry/gateway/stream.go", "		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {",
+		"		if err != nil && len(raw) > 0 {\n			return event{raw: append(raw, line...)}, nil\n		}\n		if err != nil {")},
+	{"the right service", without("platform/messages.go", "	h.Set(headerInstance, f.Instance)\n", "")},
+	{"the workspace of the key", without("platform/messages.go", "	for _, name := range ownHeaders {\n		h.Del(name)\n	}\n", "")},
+	{"no more time than is left", without("platform/messages.go", "max(f.Remaining.Milliseconds(), 1)", "f.Remaining.Milliseconds()+5000")},
+	{"no proper request is denied", without("entry/gateway/front.go", "	if e.table == nil {\n		e.refuse(http.StatusServiceUnavailable", "	if e.table == nil {\n		e.refuse(http.StatusNotFound")},
+	{"memory comes back", without("entry/gateway/reservation.go", "		r.done.Wait()\n		r.release()\n", "		r.renew(context.Background())\n")},
+	{"a planned stop ends in time", without("core/process/run.go", "				if again == syscall.SIGINT {", "				if again != nil {")},
+	{"nothing is cut", without("entry/gateway/front.go", "	s.manager.Join()\n	defer s.manager.End()\n", "")},
+	{"a caller that leaves ends the work", without("entry/gateway/run.go", "context.WithDeadline(e.r.Context(), e.deadline)", "context.WithDeadline(context.Background(), e.deadline)")},
+	{"an answer or a failure in time", without("entry/gateway/run.go", "context.WithDeadline(e.r.Context(), e.deadline)", "context.WithDeadline(e.r.Context(), e.deadline.Add(9*time.Second))")},
+	{"a configuration is in force in time", without("entry/gateway/platformloop.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n")},
+	{"a leaving server gets nothing new", without("core/directory/directory.go", "		if !known.Leaving {\n", "		if true {\n")},
+	{"no process ends by itself", without("entry/gateway/settingsloop.go", "	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds", "	os.Exit(1)\n	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds")},
 }
 
 // BenchmarkRemovals plays up to removalSeeds seeds without each safeguard, until the
@@ -49,7 +52,7 @@
 	require.NoError(b, err)
 	for _, r := range removals {
 		finding := r.red(b, top)
-		fmt.Fprintf(os.Stderr, "%-40s %-36s %s\n", r.promise, r.file, finding)
+		fmt.Fprintf(os.Stderr, "%-40s %-36s %s\n", r.promise, r.change.File, finding)
 	}
 }
 
@@ -59,14 +62,10 @@
 	removalLength = 20 * time.Second
 )
 
-func (r removal) red(b *testing.B, top string) string {
-	path := filepath.Join(top, r.file)
-	source, err := os.ReadFile(path)
+func (r broken) red(b *testing.B, top string) string {
+	overlay, err := removal.Overlay(top, b.TempDir(), r.change)
 	require.NoError(b, err)
-	require.Equal(b, 1, strings.Count(string(source), r.old), "the safeguard's text must stand once in %s", r.file)
-	changed := filepath.Join(b.TempDir(), filepath.Base(path))
-	require.NoError(b, os.WriteFile(changed, []byte(strings.Replace(string(source), r.old, r.new, 1)), 0o600))
-	binary := build(b, map[string]string{path: changed})
+	binary := build(b, overlay)
 	for seed := range uint64(removalSeeds) {
 		report, err := Play(Options{Seed: seed, Length: removalLength, Entries: 5, Workers: 9, Binary: binary, Folder: b.TempDir(), Timed: true})
 		require.NoError(b, err)
@@ -76,6 +75,6 @@
 			}
 		}
 	}
-	b.Errorf("%s: nothing is found without the safeguard in %s", r.promise, r.file)
+	b.Errorf("%s: nothing is found without the safeguard in %s", r.promise, r.change.File)
 	return "not found"
 }
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -14,19 +13,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// build makes the entry's program, with changed source files in place of others.
-func build(t testing.TB, overlay map[string]string) string {
-	folder := t.TempDir()
-	binary := filepath.Join(folder, "arbutus-entry")
-	arguments := []string{"build", "-o", binary}
-	if len(overlay) > 0 {
-		content, err := json.Marshal(map[string]map[string]string{"Replace": overlay})
-		require.NoError(t, err)
-		file := filepath.Join(folder, "overlay.json")
-		require.NoError(t, os.WriteFile(file, content, 0o600))
-		arguments = append(arguments, "-overlay", file)
-	}
-	command := exec.Command("go", append(arguments, "arbutusdeck/entry/cmd/arbutus-entry")...)
+// build makes the entry's program, with the sources of an overlay if there is one.
+func build(t testing.TB, overlay string) string {
+	binary := filepath.Join(t.TempDir(), "arbutus-entry")
+	command := exec.Command("go", "build", "-o", binary, "-overlay", overlay, "arbutusdeck/entry/cmd/arbutus-entry")
 	output, err := command.CombinedOutput()
 	require.NoError(t, err, string(output))
 	return binary
@@ -71,7 +61,7 @@
 // their connections meanwhile; what they and the servers saw must agree with every
 // promise that rests on no time.
 func TestSeededRunsKeepEveryPromise(t *testing.T) {
-	binary := build(t, nil)
+	binary := build(t, "")
 	for _, o := range kept(t) {
 		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
 			t.Parallel()
