--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -66,9 +66,9 @@
 	WorkPrice float64
 	// UnheardLoss is the share of a request's value that is believed lost at a
 	// server that an entry may use of which nothing is heard. One of five entries
-	// cut off lowered the worth of a day from 0.852 to 0.635 without it, to 0.723
-	// with 0.2 and to 0.797 with 0.4; one that was dead and taken for cut off from
-	// 0.839 to 0.808 and 0.773 (virtual time).
+	// cut off served 0.635 of a day's worth without it, 0.712 with 0.15, 0.797 with
+	// 0.4; one that was dead and taken for cut off 0.839, 0.815 and 0.773 (virtual
+	// time).
 	UnheardLoss float64
 	// NetworkTime is a connection's opening and the way there and back.
 	NetworkTime time.Duration
