--- a/proof/soak/caller.go
+++ b/proof/soak/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -45,7 +46,8 @@
 var promptTokens = []int{1500, 1500, 1500, 6000, 6000, 90_000, 180_000, 420_000}
 
 func newCaller(name string, entry int, address string, seed uint64, records *Records, version func() int) *caller {
-	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: noAnswer}
+	dialer := &net.Dialer{Timeout: connectTime}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: noAnswer}
 	return &caller{name: name, entry: entry, address: address, random: rand.New(rand.NewPCG(seed, 2)), records: records,
 		client: &http.Client{Transport: transport}, version: version}
 }
--- a/proof/soak/check_times.go
+++ b/proof/soak/check_times.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// touched says that a kind strikes an entry: the store's faults strike all.
+// touches says whether a fault strikes an entry: the store's faults strike all.
 func (f *Interval) touches(entry int) bool {
 	if f.Kind.onEntry() {
 		return f.Target == entry
--- a/proof/soak/plan.go
+++ b/proof/soak/plan.go
@@ -67,9 +67,11 @@
 }
 
 const (
-	// meanGap is the mean time between two draws of an entry's or worker's share
-	// of faults; large runs have more of them at once.
-	meanGap = 500 * time.Millisecond
+	// meanGap is the mean time between two draws in a run of usualTargets entries
+	// and servers; larger runs are struck more often, so that each target is as
+	// often.
+	meanGap      = 500 * time.Millisecond
+	usualTargets = 12
 	// seriesShare is how many draws come as a series, of up to seriesMost
 	// strikes on one target after the other, or againShare of them on the same one
 	// again and again.
@@ -86,7 +88,7 @@
 // Plan draws the faults of a run, in the order of time.
 func Plan(o Options) []Step {
 	random := rand.New(rand.NewPCG(o.Seed, 1))
-	perGap := max(float64(o.Entries+o.Workers)/12, 1)
+	perGap := max(float64(o.Entries+o.Workers)/usualTargets, 1)
 	var steps []Step
 	for at := firstFault; at < o.Length; {
 		steps = append(steps, series(random, o, at)...)
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -24,7 +24,6 @@
 
 	mu      sync.Mutex
 	version int
-	closing bool
 }
 
 // callersOfEntry is how many callers each entry has, beside the one that probes.
@@ -184,33 +183,39 @@
 )
 
 func (w *world) strikeWorker(step Step, s *slot) {
-	if step.Kind == WorkerLink {
+	switch step.Kind {
+	case WorkerLink:
 		harm(s.link, step)
 		// What was silenced stays so for good; the fault is over with it.
 		s.link.Cut()
-		return
-	}
-	if step.Kind == WorkerMisbehaves {
+	case WorkerMisbehaves:
 		s.misbehave(true)
 		time.Sleep(step.For)
 		s.misbehave(false)
-		return
-	}
-	if !s.busy.TryLock() {
-		return // it is already on its way out
+	default:
+		if !s.busy.TryLock() {
+			return // it is already on its way out
+		}
+		defer s.busy.Unlock()
+		w.replaceWorker(step, s)
 	}
-	defer s.busy.Unlock()
+}
+
+// replaceWorker ends a server in one of three ways and starts the next one.
+func (w *world) replaceWorker(step Step, s *slot) {
 	switch step.Kind {
 	case WorkerCrashed:
 		gone := s.crash()
 		time.Sleep(min(step.For, rowLapse))
 		s.unlist(gone)
 		time.Sleep(max(step.For-rowLapse, 0))
+		s.start()
 	case WorkerLeaves:
 		s.leave()
 		time.Sleep(leaveTime)
 		s.unlist(s.current())
 		s.crash()
+		s.start()
 	case AddressReused:
 		gone := s.crash()
 		time.Sleep(reuseAfter)
@@ -219,9 +224,7 @@
 		// The old row names the same address until it lapses.
 		time.Sleep(rowLapse)
 		s.unlist(gone)
-		return
 	}
-	s.start()
 }
 
 // leastServers is how many servers each service keeps.
