Don't sort the soak's faults, which are noted in order

Cause: faults are appended under a lock with the time of their beginning, so a sorted copy for the report only repeated their order. A comment in a test still had an old name.

Checks: gofmt, vet, staticcheck and the package's tests with the race detector (21.9 s).

--- a/proof/soak/check.go
+++ b/proof/soak/check.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -198,19 +197,11 @@
 	}
 }
 
-// sortedFaults are the faults in the order of their beginnings, for reports.
-func (r *Records) sortedFaults() []Interval {
-	faults := slices.Clone(r.Faults)
-	slices.SortFunc(faults, func(a, b Interval) int { return cmp.Compare(a.From.UnixNano(), b.From.UnixNano()) })
-	return faults
-}
-
 // faultLines tells what struck, one line each, counted from the first one.
 func (r *Records) faultLines() string {
 	var text strings.Builder
-	faults := r.sortedFaults()
-	for _, f := range faults {
-		_, _ = fmt.Fprintf(&text, "%8.3f to %8.3f s  %s %d\n", f.From.Sub(faults[0].From).Seconds(), f.To.Sub(faults[0].From).Seconds(), f.Kind, f.Target)
+	for _, f := range r.Faults {
+		_, _ = fmt.Fprintf(&text, "%8.3f to %8.3f s  %s %d\n", f.From.Sub(r.Faults[0].From).Seconds(), f.To.Sub(r.Faults[0].From).Seconds(), f.Kind, f.Target)
 	}
 	return text.String()
 }
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -14,7 +14,7 @@
 	return began.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-// sound is a run in which one order is served and nothing is broken.
+// soundRecords are of a run in which one order is served and nothing is broken.
 func soundRecords() *Records {
 	r := newRecords()
 	r.Starts[0] = []time.Time{began}
