Give reserved memory back before it counts as unused

Ruled out: an entry that died in between (the entry lived), a renewal that raced the end (the same id from 4.93 s to 18.45 s, when the caller left). Change: a try whose reservations see no first event within the allowed idle time less two order timeouts is broken off, its memory is released and another group is tried; a group that would read for longer than that is not chosen. Test seen red (504 after 15 s), removal added.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -24,6 +24,8 @@
 	// Target is when the first event is expected, counted from now.
 	Target time.Duration
 	Gap    time.Duration
+	// HoldLimit is how long reserved memory may wait for the first event; 0 for any time.
+	HoldLimit time.Duration
 	// Remaining is the time that the request has left.
 	Remaining time.Duration
 	// Tie is a random number from 0 to 1 that breaks ties between equal servers,
@@ -229,6 +231,9 @@
 		choice.Helpers = append(choice.Helpers, c.Server)
 	}
 	choice.Predicted = enginemodel.Millis(slowest) + b.options.NetworkTime
+	if held != nil && q.HoldLimit > 0 && choice.Predicted > q.HoldLimit {
+		return Choice{}, false
+	}
 	choice.Loss = loss + b.lateLoss(q, choice.Predicted) + float64(parts)*b.options.PartLoss
 	return choice, true
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -127,6 +127,20 @@
 	require.Equal(t, NoMemory, refusal)
 }
 
+// Four servers have the memory for 700,000 tokens, but read them for twelve seconds. A
+// reservation may wait for nine: the try would be broken off in the midst of the read and
+// the memory would have been kept from others for nothing. Sixteen read them in time.
+func TestAReservationEndsBeforeItCountsAsUnused(t *testing.T) {
+	q := longQuery(fleet(4), 700_000)
+	choice := choose(t, newBook(), q)
+	require.Greater(t, choice.Predicted, 9*time.Second)
+	q.HoldLimit = 9 * time.Second
+	_, refusal := newBook().Choose(start, q)
+	require.Equal(t, NoMemory, refusal)
+	q.Servers = fleet(16)
+	require.Less(t, choose(t, newBook(), q).Predicted, q.HoldLimit)
+}
+
 // Two of four servers still have a quarter of a second to read for prompts whose time
 // is nearly over. An engine reads the newest part first: four parts would serve the
 // new prompt a little earlier and make both of the others late.
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -417,6 +417,36 @@
 	w.eventually("all memory is given back", w.allReleased)
 }
 
+// A prompt of 350,000 tokens is held at a group whose first worker hangs: it grants and
+// renews the memory but never begins to write. Without a bound the memory of all holders
+// would be kept from others until the caller leaves. The entry ends the try, gives the
+// memory back, and another worker answers.
+func TestMemoryThatIsNotUsedIsGivenBack(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	var hung atomic.Pointer[string]
+	for i := range 8 {
+		id := fmt.Sprintf("i-%d", i)
+		w.worker(id, "engines", func(out http.ResponseWriter, r *http.Request) {
+			if hung.CompareAndSwap(nil, &id) {
+				<-r.Context().Done()
+				return
+			}
+			standin.Events(out, r, 2, 0)
+		})
+	}
+	settings := w.settings()
+	settings.ReservationIdle = config.Duration(4 * time.Second)
+	s := w.start(settings)
+	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving && w.known(s) })
+	began := time.Now()
+	r := w.call(s, http.MethodPost, "/stream/", 350_000, "prompt")
+	require.Equal(t, 200, r.status, r.body)
+	require.NotEqual(t, "signed-by-"+*hung.Load(), r.signature)
+	require.Less(t, time.Since(began), settings.ReservationIdle.D())
+	w.eventually("all memory is given back", w.allReleased)
+}
+
 // A key is taken away while its caller keeps a connection open: the next request on
 // it is refused. An older configuration that arrives late does not bring it back.
 func TestATakenKeyStaysTaken(t *testing.T) {
--- a/entry/gateway/reservation.go
+++ b/entry/gateway/reservation.go
@@ -22,8 +22,17 @@
 	orderTimeout = 600 * time.Millisecond
 	// releaseTries is how often a release is sent; after that the hold ends.
 	releaseTries = 3
+	// releaseMargin is kept free of the time that memory may stay reserved without
+	// use: one order that times out and one that gets through.
+	releaseMargin = 2 * orderTimeout
 )
 
+// unusedLimit is how long a reservation waits for the first event of its request. A
+// server that hangs, or that never gets to a long prompt because shorter ones go first,
+// otherwise keeps memory from others on all servers of the group for as long as the
+// caller waits: every renewal is granted.
+func unusedLimit(idle time.Duration) time.Duration { return max(idle-releaseMargin, idle/2) }
+
 // reservation is the memory that one request holds on several servers. The zero
 // number of parts is a request that needs none.
 type reservation struct {
@@ -34,6 +43,8 @@
 	hold    time.Duration
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
+	// unused ends the try if the first event doesn't come; nil if nothing is held.
+	unused *time.Timer
 }
 
 // held is one server's part.
@@ -87,6 +98,25 @@
 	return errors.Join(errs...)
 }
 
+// watch calls cancel if the reservations are not used in time: the try ends, the memory is
+// given back, and another group gets the request.
+func (r *reservation) watch(cancel context.CancelFunc) {
+	if len(r.holding) == 0 {
+		return
+	}
+	r.unused = time.AfterFunc(unusedLimit(r.s.settings.ReservationIdle.D()), func() {
+		r.s.log.WithField("reservation", r.id).Warn("reserved memory was not used; it is given back")
+		cancel()
+	})
+}
+
+// used tells that the request's first event has come.
+func (r *reservation) used() {
+	if r.unused != nil {
+		r.unused.Stop()
+	}
+}
+
 func (r *reservation) renew(ctx context.Context) {
 	defer r.done.Done()
 	ticker := time.NewTicker(reservationRenew)
@@ -108,6 +138,7 @@
 	if len(r.holding) == 0 {
 		return
 	}
+	r.used()
 	r.cancel()
 	go func() {
 		// A renewal under way would set the memory aside again after the
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -81,7 +81,8 @@
 func (e *exchange) choose(now time.Time) (placement.Choice, placement.Refusal) {
 	q := placement.Query{Engine: e.service.Engine, Exclude: e.core.Excluded(), PromptTokens: e.info.PromptTokens,
 		AnswerTokens: e.answerTokens(), Gap: e.route.EventGap, Tie: e.draw,
-		Target: max(e.route.Target-now.Sub(e.arrived), time.Millisecond), Remaining: e.deadline.Sub(now) - answerMargin}
+		Target: max(e.route.Target-now.Sub(e.arrived), time.Millisecond), Remaining: e.deadline.Sub(now) - answerMargin,
+		HoldLimit: unusedLimit(e.s.settings.ReservationIdle.D())}
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
 	q.Servers = e.s.directory.Available(e.service.Name)
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -57,7 +57,7 @@
 // try sends the request to the chosen server and passes its answer on.
 func (e *exchange) try(ctx context.Context, choice placement.Choice) tryResult {
 	server := choice.Server
-	ctx, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dispatch := e.dispatch(choice)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
@@ -65,15 +65,16 @@
 		return e.ended(ctx, server.ID, execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
 	}
 	defer reservation.end()
+	reservation.watch(cancel)
 	e.s.bookBegin(dispatch, e.service.Engine, choice.Predicted)
 	defer e.s.bookEnd(dispatch.ID)
-	request := e.upstream(ctx, choice, reservation)
+	request := e.upstream(sending, choice, reservation)
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
 		return e.noAnswer(ctx, server.ID, err)
 	}
 	defer response.Body.Close()
-	return e.readAnswer(ctx, choice, dispatch.ID, response)
+	return e.readAnswer(ctx, choice, reservation, response)
 }
 
 // noAnswer handles a try that brought no headers.
@@ -176,7 +177,7 @@
 }
 
 // readAnswer judges the headers of an answer and passes it on.
-func (e *exchange) readAnswer(ctx context.Context, choice placement.Choice, dispatch string, response *http.Response) tryResult {
+func (e *exchange) readAnswer(ctx context.Context, choice placement.Choice, reservation *reservation, response *http.Response) tryResult {
 	server := choice.Server.ID
 	e.core.Sending()
 	answer := platform.ParseAnswer(response.StatusCode, response.Header)
@@ -195,7 +196,7 @@
 		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeEngineFailed, Detail: "the answer is not the server's own"})
 	}
 	if success && e.route.Streaming {
-		return e.readStream(ctx, choice, dispatch, response)
+		return e.readStream(ctx, choice, reservation, response)
 	}
 	return e.readPlain(ctx, server, response, success)
 }
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -65,6 +65,7 @@
 	{"a broken answer breaks the connection", "entry/gateway/answers.go", "	if e.begun {\n		panic(http.ErrAbortHandler)\n	}", "	if e.begun {\n		return\n	}", gatewayPkg, "TestAStreamThat"},
 	{"a caller that leaves ends the work", "entry/gateway/run.go", "context.WithDeadline(e.r.Context(), e.deadline)", "context.WithDeadline(context.Background(), e.deadline)", gatewayPkg, "TestACallerThatLeaves"},
 	{"refused memory is given back", "entry/gateway/reservation.go", "		r.release()\n		return nil, fmt", "		return nil, fmt", gatewayPkg, "TestRefusedMemory"},
+	{"unused memory is given back", "entry/gateway/try.go", "	reservation.watch(cancel)\n", "", gatewayPkg, "TestMemoryThatIsNotUsed"},
 	{"used memory is given back", "entry/gateway/try.go", "	defer reservation.end()\n", "", gatewayPkg, "TestAHugePrompt"},
 	{"the configuration never goes back", "entry/gateway/platformloop.go", "current.Version() >= table.Version()", "current.Version() == table.Version()", gatewayPkg, "TestATakenKey"},
 	{"a bad configuration is refused", "entry/gateway/platformloop.go", "	if err != nil {\n		s.log.WithError(err).WithFields(logrus.Fields{\"version\": definition.Version, \"source\": source}).Error(\"configuration refused; the last good one stays in force\")\n", "	if err != nil && table == nil {\n		table, _ = routes.NewTable(routes.Definition{Version: definition.Version})\n	} else if err != nil {\n", gatewayPkg, "TestARefusedConfiguration"},
