Tell callers when an entry will be there while all of them stop

Ruled out: taking requests later than 2.8 s into a stop (an answer of the longest length the caller allows lasts 5.7 s, the stop 7.6 s; cutting it is worse than refusing it). Change: entries note when others began to stop; the refusal names the time at which the first of them is back, spread over half of it more; 50 ms where another entry serves.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -67,6 +67,9 @@
 	version     uint64
 	revision    uint64
 	stopping    bool
+	// stopped is when it was first heard to stop.
+	stopped  time.Time
+	starting bool
 	// untold says that it has missed news and was not told of them yet.
 	untold bool
 }
@@ -134,7 +137,10 @@
 	if sender.Missed {
 		known.untold = false
 	}
-	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
+	if m.Stopping && (!known.stopping || sender.Restarted) {
+		known.stopped = now
+	}
+	known.incarnation, known.heard, known.stopping, known.starting = m.Incarnation, now, m.Stopping, m.Starting
 	known.version, known.revision = m.Version, m.Revision
 	for _, address := range m.Known {
 		g.add(now, address)
@@ -175,6 +181,35 @@
 	return silent, all
 }
 
+// NextServing is how long it takes at most until another entry takes requests; 0 if one does
+// now. limit is how long a planned stop takes at most. It returns false if no other entry
+// is known to come back.
+func (g *Group) NextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
+	soonest, found := time.Duration(0), false
+	for _, m := range g.members {
+		if m.heard.IsZero() || now.Sub(m.heard) >= limit+StartTime {
+			continue
+		}
+		wait := time.Duration(0)
+		switch {
+		case m.stopping:
+			wait = max(m.stopped.Add(limit).Sub(now), 0) + StartTime
+		case m.starting:
+			wait = StartTime
+		case now.Sub(m.heard) >= AliveAfter:
+			continue
+		}
+		if !found || wait < soonest {
+			soonest, found = wait, true
+		}
+	}
+	return soonest, found
+}
+
+// StartTime is how long an entry takes from its end to serving again: the platform's delay
+// before a start, and the first read of the store.
+const StartTime = 600 * time.Millisecond
+
 // Forget drops the members that were not heard of for long.
 func (g *Group) Forget(now time.Time) {
 	for address, m := range g.members {
--- a/core/peering/group_test.go
+++ b/core/peering/group_test.go
@@ -126,3 +126,36 @@
 	require.Equal(t, []string{"a:1"}, told)
 	require.Empty(t, rest)
 }
+
+// Entries are restarted in turn, faster than they drain: all are stopping at the same time.
+// A caller that is refused by one would meet the next refusal elsewhere; it has to come
+// back when the first of them is there again.
+func TestWhenTheNextEntryServes(t *testing.T) {
+	const limit = 8 * time.Second
+	stopping := func(from string) Message {
+		m := message(from, "x", 1, 1)
+		m.Stopping = true
+		return m
+	}
+	g := New("c:1", "i", []string{"never:1"})
+	_, ok := g.NextServing(start, limit)
+	require.False(t, ok, "nobody else is known")
+	g.Heard(start, stopping("a:1"))
+	g.Heard(start.Add(2*time.Second), stopping("b:1"))
+	g.Heard(start.Add(2*time.Second), stopping("a:1"))
+	wait, ok := g.NextServing(start.Add(3*time.Second), limit)
+	require.True(t, ok)
+	require.Equal(t, 5*time.Second+StartTime, wait, "the first stop ends first")
+
+	starting := message("a:1", "y", 1, 1)
+	starting.Starting = true
+	g.Heard(start.Add(4*time.Second), starting)
+	wait, _ = g.NextServing(start.Add(4*time.Second), limit)
+	require.Equal(t, StartTime, wait)
+	g.Heard(start.Add(4500*time.Millisecond), message("a:1", "y", 1, 1))
+	wait, _ = g.NextServing(start.Add(4500*time.Millisecond), limit)
+	require.Zero(t, wait)
+	g.Heard(start.Add(5*time.Second), stopping("a:1"))
+	wait, _ = g.NextServing(start.Add(5*time.Second), limit)
+	require.Equal(t, 5*time.Second+StartTime, wait, "a second stop counts from its own beginning")
+}
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/process"
 )
 
@@ -95,6 +96,29 @@
 	return now.Sub(*since) < lingerAfterStop, true
 }
 
+// elsewhereDelay is after how long a caller comes back that another entry can serve: at once,
+// on a new connection.
+const elsewhereDelay = 50 * time.Millisecond
+
+// returnAfterStop is when a caller should come back that is refused because this entry stops.
+// Where entries are restarted in turn faster than they drain, all of them may be stopping;
+// a caller that comes back at once is refused again and has no try left.
+func (s *Server) returnAfterStop(now time.Time) time.Duration {
+	wait, known := s.peers.nextServing(now, s.StopLimit())
+	if known && wait == 0 {
+		return elsewhereDelay
+	}
+	own := peering.StartTime
+	if since := s.stopping.Load(); since != nil {
+		own += max(since.Add(s.StopLimit()).Sub(now), 0)
+	}
+	if !known || own < wait {
+		wait = own
+	}
+	// Spread over half of the time more: all come back to the same entry.
+	return wait + time.Duration(s.random01()*float64(wait)/2)
+}
+
 // StopLimit is how long a planned stop waits for open requests.
 func (s *Server) StopLimit() time.Duration {
 	return max(s.settings.StopLimit.D()-stopMargin, stopMargin)
--- a/entry/gateway/entries_test.go
+++ b/entry/gateway/entries_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/platform/standin"
 )
@@ -102,3 +104,38 @@
 	}
 	require.Equal(t, 12, own)
 }
+
+// Entries are restarted in turn faster than they drain: both are stopping and refuse new
+// requests. A caller that was told to come back at once met the other one's refusal, and had
+// no try left. It is told when an entry will be there; while another one serves, at once.
+func TestARefusalDuringAStopNamesTheReturnOfAnEntry(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "engines", nil)
+	first := w.serve()
+	second := w.start(w.settings(first.settings.PeerAddress))
+	w.eventually("the second serves", func() bool { return second.manager.State() == lifecycle.Serving })
+	w.eventually("the first hears it", func() bool {
+		wait, known := first.peers.nextServing(time.Now(), first.StopLimit())
+		return known && wait == 0
+	})
+	first.manager.Join() // a request that lasts
+	defer first.manager.End()
+	first.manager.Drain()
+	returnAfter := func() time.Duration {
+		r := w.call(first, http.MethodPost, "/stream/", 2000, "x")
+		if r.status != http.StatusServiceUnavailable {
+			return 0
+		}
+		seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		return time.Duration(seconds * float64(time.Second))
+	}
+	w.eventually("the first refuses", func() bool { return returnAfter() > 0 })
+	require.Equal(t, elsewhereDelay, returnAfter())
+	second.manager.Join()
+	defer second.manager.End()
+	second.manager.Drain()
+	w.eventually("the first hears of the second's stop", func() bool { return returnAfter() > time.Second })
+	require.Less(t, returnAfter(), 3*first.StopLimit()/2)
+}
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -67,7 +67,7 @@
 	s.manager.Join()
 	defer s.manager.End()
 	if !takes {
-		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeStopping, Detail: "this entry is about to stop", RetryAfter: 50 * time.Millisecond})
+		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeStopping, Detail: "this entry is about to stop", RetryAfter: e.s.returnAfterStop(now)})
 		return
 	}
 	if e.admit() {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -121,6 +121,13 @@
 	return p.group.Size()
 }
 
+// nextServing is how long it takes until another entry takes requests.
+func (p *peerExchange) nextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group.NextServing(now, limit)
+}
+
 func (p *peerExchange) scheduleFlush() {
 	if p.flushing {
 		return
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -74,6 +74,7 @@
 	{"a stalled server is left", "entry/gateway/stall.go", "	watch.after(check, look)\n", "", gatewayPkg, "TestAShortPromptLeaves"},
 	{"only within the budget", "entry/gateway/stall.go", "e.s.budget(e.service.Name).Has(now) && ", "", gatewayPkg, "TestWhatMayNotRunTwice"},
 	{"what may not run twice stays", "entry/gateway/stall.go", " || !e.core.MayMove()", "", gatewayPkg, "TestWhatMayNotRunTwice"},
+	{"a stop's refusal names the return of an entry", "entry/gateway/connections.go", "	if known && wait == 0 {", "	if true {", gatewayPkg, "TestARefusalDuring"},
 	{"used memory is given back", "entry/gateway/try.go", "		released := reservation.end()\n", "		released := make(chan struct{})\n		close(released)\n", gatewayPkg, "TestAHugePrompt"},
 	{"the configuration never goes back", "entry/gateway/platformloop.go", "current.Version() >= table.Version()", "current.Version() == table.Version()", gatewayPkg, "TestATakenKey"},
 	{"a bad configuration is refused", "entry/gateway/platformloop.go", "	if err != nil {\n		s.log.WithError(err).WithFields(logrus.Fields{\"version\": definition.Version, \"source\": source}).Error(\"configuration refused; the last good one stays in force\")\n", "	if err != nil && table == nil {\n		table, _ = routes.NewTable(routes.Definition{Version: definition.Version})\n	} else if err != nil {\n", gatewayPkg, "TestARefusedConfiguration"},
