Count the balancer's notice in the time at which refused callers return

Change: an entry counts as reachable 1.2 s after it is first heard to serve; spread a quarter. Ruled out: that the refusals came from the started entry (it refused 4, without configuration).

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -68,8 +68,9 @@
 	revision    uint64
 	stopping    bool
 	// stopped is when it was first heard to stop.
-	stopped  time.Time
-	starting bool
+	stopped time.Time
+	// serving is since when it is heard to take requests; zero while it does not.
+	serving time.Time
 	// untold says that it has missed news and was not told of them yet.
 	untold bool
 }
@@ -140,7 +141,13 @@
 	if m.Stopping && (!known.stopping || sender.Restarted) {
 		known.stopped = now
 	}
-	known.incarnation, known.heard, known.stopping, known.starting = m.Incarnation, now, m.Stopping, m.Starting
+	switch {
+	case m.Starting || m.Stopping:
+		known.serving = time.Time{}
+	case known.serving.IsZero() || sender.Restarted:
+		known.serving = now
+	}
+	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
 	known.version, known.revision = m.Version, m.Revision
 	for _, address := range m.Known {
 		g.add(now, address)
@@ -181,34 +188,42 @@
 	return silent, all
 }
 
-// NextServing is how long it takes at most until another entry takes requests; 0 if one does
-// now. limit is how long a planned stop takes at most. It returns false if no other entry
-// is known to come back.
+// NextServing is how long it takes at most until callers reach another entry that takes
+// requests; 0 if they do now. limit is how long a planned stop takes at most. It returns
+// false if no other entry is known to come back.
 func (g *Group) NextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
 	soonest, found := time.Duration(0), false
 	for _, m := range g.members {
-		if m.heard.IsZero() || now.Sub(m.heard) >= limit+StartTime {
-			continue
-		}
-		wait := time.Duration(0)
-		switch {
-		case m.stopping:
-			wait = max(m.stopped.Add(limit).Sub(now), 0) + StartTime
-		case m.starting:
-			wait = StartTime
-		case now.Sub(m.heard) >= AliveAfter:
-			continue
-		}
-		if !found || wait < soonest {
+		wait, ok := m.nextServing(now, limit)
+		if ok && (!found || wait < soonest) {
 			soonest, found = wait, true
 		}
 	}
 	return soonest, found
 }
 
-// StartTime is how long an entry takes from its end to serving again: the platform's delay
-// before a start, and the first read of the store.
-const StartTime = 600 * time.Millisecond
+func (m *member) nextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
+	quiet := now.Sub(m.heard)
+	switch {
+	case m.heard.IsZero():
+		return 0, false
+	case m.stopping:
+		return max(m.stopped.Add(limit).Sub(now), 0) + StartTime + BalancerTime, quiet < limit+StartTime
+	case m.serving.IsZero():
+		return StartTime + BalancerTime, quiet < AliveAfter
+	}
+	return max(m.serving.Add(BalancerTime).Sub(now), 0), quiet < AliveAfter
+}
+
+const (
+	// StartTime is how long an entry takes from its end to serving again: the platform's
+	// delay before a start, and the first read of the store.
+	StartTime = 600 * time.Millisecond
+	// BalancerTime is how long the platform's balancer takes to send callers to an entry
+	// that has begun to serve: it asks once a second. A caller that comes back sooner is
+	// sent to one that stops, and refused again.
+	BalancerTime = 1200 * time.Millisecond
+)
 
 // Forget drops the members that were not heard of for long.
 func (g *Group) Forget(now time.Time) {
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -108,15 +108,15 @@
 	if known && wait == 0 {
 		return elsewhereDelay
 	}
-	own := peering.StartTime
+	own := peering.StartTime + peering.BalancerTime
 	if since := s.stopping.Load(); since != nil {
 		own += max(since.Add(s.StopLimit()).Sub(now), 0)
 	}
 	if !known || own < wait {
 		wait = own
 	}
-	// Spread over half of the time more: all come back to the same entry.
-	return wait + time.Duration(s.random01()*float64(wait)/2)
+	// Spread over a quarter of the time more: all come back to the same entry.
+	return wait + time.Duration(s.random01()*float64(wait)/4)
 }
 
 // StopLimit is how long a planned stop waits for open requests.
