Pack short answers only beside those that are being written

Ruled out: the processor of the entries (choices follow arrivals within milliseconds), long prompts (they wait by then). Change: of answers alike, only those that are being written count for packing.

--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -32,7 +32,10 @@
 }
 
 // joinLoss is the cost of writing the answer here: full slots, and the gain of
-// packing it beside answers that bear pauses alike. Packed answers leave whole
+// packing it beside answers that bear pauses alike. Only answers that are being written
+// draw others: they show that the server works, while one that has just been chosen may be
+// full of work that is not in the book. Counting all served 0.712 of the score on drawn
+// deployments, counting these 0.736 (virtual time, 24 days). Packed answers leave whole
 // servers to the reading of long prompts. The gain shrinks with the part of the target that
 // the choice would use up: when many callers come back at once, packing would put their
 // reads one behind the other on one server while others are idle. On drawn deployments
@@ -48,7 +51,9 @@
 		switch {
 		case w.index != 0:
 		case bearsAlike(w.dispatch.Gap, q.Gap):
-			alike++
+			if w.writing {
+				alike++
+			}
 		default:
 			others++
 		}
--- a/core/placement/stall_test.go
+++ b/core/placement/stall_test.go
@@ -24,7 +24,7 @@
 	q := shortQuery(servers)
 	early, refusal := b.Choose(start.Add(50*time.Millisecond), q)
 	require.Empty(t, refusal)
-	require.Equal(t, "s00", early.Server.ID, "short answers are packed")
+	require.Equal(t, "s00", early.Server.ID, "it looks idle")
 	overdue := start.Add(400 * time.Millisecond)
 	for i := range 10 {
 		q.Tie = float64(i) / 10
@@ -86,6 +86,20 @@
 	require.Greater(t, len(used), 10)
 }
 
+// An entry has just started. A server that has not answered yet may be full of what another
+// entry left there: only answers that are being written draw others to their server.
+func TestOnlyWrittenAnswersDrawOthers(t *testing.T) {
+	b, servers := newBook(), fleet(3)
+	for i := range 3 {
+		begin(b, start, fmt.Sprint("r", i), "s02")
+	}
+	require.NotEqual(t, "s02", choose(t, b, shortQuery(servers)).Server.ID)
+	for i := range 3 {
+		b.FirstEvent(start, fmt.Sprint("r", i))
+	}
+	require.Equal(t, "s02", choose(t, b, shortQuery(servers)).Server.ID)
+}
+
 // Twelve of sixteen servers write short answers. A prompt of 590,000 tokens has waited for
 // eleven seconds and can wait no longer: read on all servers at once it would make all those
 // answers pause for seconds, for one late answer. It is refused, and says when to return.
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -35,6 +35,7 @@
 	{"a stall counts as backlog", "core/placement/choose.go", "s.backlogMs()+s.stall(now).Seconds()*msPerSecond", "s.backlogMs()", placementPkg, "TestAServerThatWorksForNobody"},
 	{"later answers show that a server works", "core/placement/stall.go", " || w.began.Before(s.answered)", "", placementPkg, "TestALostRequest"},
 	{"a late prompt does not stall all answers", "core/placement/choose.go", "best.Wait == 0 && b.crowdsOut(best, q)", "false", placementPkg, "TestALatePromptDoesNotStall"},
+	{"only written answers draw others", "core/placement/loss.go", "			if w.writing {\n", "			if w.index == 0 {\n", placementPkg, "TestOnlyWrittenAnswers"},
 	{"a herd is spread", "core/placement/loss.go", "	gain *= math.Max(1-used, 0)\n", "	gain *= math.Max(1, 0*used)\n", placementPkg, "TestAHerd"},
 	{"a reservation ends before it counts as unused", "core/placement/choose.go", "choice.Predicted > q.HoldLimit", "false", placementPkg, "TestAReservationEnds"},
 	{"short answers are packed", "core/placement/loss.go", "	return gain * float64(others-alike)", "	return 0", placementPkg, "TestShortAnswersArePacked"},
