--- a/core/placement/stall_test.go
+++ b/core/placement/stall_test.go
@@ -69,11 +69,14 @@
 	require.Zero(t, MoveCheck(Choice{}, nil))
 }
 
-// Sixty callers come back at the same moment, after all entries were away. The servers
-// are idle: spread, all are in time. Packed one behind the other on a few servers, the last
-// ones of each would be late.
+// Sixty callers come at the same moment. One server writes answers alike, the others are
+// idle: spread, all are in time. Packed one behind the other where answers are written, the
+// last ones would be late.
 func TestAHerdOfShortPromptsIsSpread(t *testing.T) {
 	b, servers := newBook(), fleet(16)
+	for i := range 9 {
+		write(b, fmt.Sprint("before", i), "s00", shortQuery(servers))
+	}
 	most := time.Duration(0)
 	used := map[string]bool{}
 	for i := range 60 {
