--- a/proof/soak/check.go
+++ b/proof/soak/check.go
@@ -173,6 +173,15 @@
 	for worker, count := range c.Reserved {
 		c.found("memory comes back", "%d reservations stand at %s", count, worker)
 	}
+	for _, span := range c.Held {
+		until := span.To
+		if used, ok := c.Used[span.ID]; ok && used.Before(until) {
+			until = used
+		}
+		if idle := until.Sub(span.From); idle > reservationIdle+slack {
+			c.found("memory is used or given back", "reservation %s was not used for %s", span.ID, idle.Round(time.Millisecond))
+		}
+	}
 	for _, e := range c.Exits {
 		switch {
 		case e.ByItself:
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/platform/standin"
 )
 
 var began = time.Unix(1_000_000, 0)
@@ -58,6 +60,10 @@
 				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
 			}
 		},
+		"memory is used or given back": func(r *Records) {
+			r.Held = []standin.Held{{ID: "a", From: after(1), To: after(12)}, {ID: "b", From: after(1), To: after(12)}}
+			r.Used["b"] = after(2)
+		},
 		"memory comes back":              func(r *Records) { r.Reserved["w"] = 1 },
 		"no process ends by itself":      func(r *Records) { r.Exits = []Exit{{ByItself: true}} },
 		"recovery":                       func(r *Records) { r.Calls = append(r.Calls, refusedLate()...) },
--- a/proof/soak/daemon.go
+++ b/proof/soak/daemon.go
@@ -191,7 +191,7 @@
 	return gateway.Settings{Name: fmt.Sprintf("entry-%03d", index), Zone: "here", ListenAddress: at(portCallers), ReadyAddress: at(portReady),
 		PeerAddress: at(portPeers), MetricsAddress: at(portMetrics), Store: store, Seeds: seeds, MemoryMB: 200, Processors: 1,
 		StopLimit: config.Duration(stopLimit), RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: config.Duration(retryWindow),
-		ReservationIdle: config.Duration(9 * time.Second), LogRate: gateway.DefaultLogRate}
+		ReservationIdle: config.Duration(reservationIdle), LogRate: gateway.DefaultLogRate}
 }
 
 // hosts counts the loopback hosts that this process has given out.
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -65,6 +65,9 @@
 	// exitBound is how long a stopped daemon may take to exit: its stop limit
 	// and as much again.
 	exitBound = 16 * time.Second
+	// reservationIdle is the daemons' setting of how long reserved memory may stay
+	// without use; the users' figure.
+	reservationIdle = 9 * time.Second
 	// stopLimit is the daemons' setting from SIGTERM to SIGKILL.
 	stopLimit = 8 * time.Second
 )
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"arbutusdeck/platform/standin"
 )
 
 // Call is one request as its caller saw it.
@@ -94,6 +96,9 @@
 	Calm time.Time
 	// Reserved are the reservations that stand at the end, by server.
 	Reserved map[string]int
+	// Held are the spans in which servers set memory aside, Used the first uses by id.
+	Held []standin.Held
+	Used map[string]time.Time
 }
 
 // Exit is the end of a process that was asked to stop.
@@ -107,7 +112,7 @@
 }
 
 func newRecords() *Records {
-	return &Records{Leaving: map[string]time.Time{}, Starts: map[int][]time.Time{}, Reserved: map[string]int{}}
+	return &Records{Leaving: map[string]time.Time{}, Starts: map[int][]time.Time{}, Reserved: map[string]int{}, Used: map[string]time.Time{}}
 }
 
 func (r *Records) call(c Call) {
@@ -194,8 +199,20 @@
 	r.Calm = time.Now()
 }
 
-func (r *Records) reserved(left map[string]int) {
+// reserved notes what is left of reservations at the end, and those that there were.
+func (r *Records) reserved(left map[string]int, held []standin.Held) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Reserved, r.Held = left, held
+}
+
+// used notes the first use of reservations.
+func (r *Records) used(ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Reserved = left
+	for _, id := range ids {
+		if r.Used[id].IsZero() {
+			r.Used[id] = time.Now()
+		}
+	}
 }
--- a/proof/soak/run.go
+++ b/proof/soak/run.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"arbutusdeck/platform/standin"
 )
 
 // Report is the outcome of a run.
@@ -120,9 +122,18 @@
 			}
 		}
 		if len(left) == 0 || time.Now().After(give) {
-			w.records.reserved(left)
+			w.records.reserved(left, w.heldSpans())
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// heldSpans are the reservations that there were at the servers that run at the end.
+func (w *world) heldSpans() []standin.Held {
+	var held []standin.Held
+	for _, s := range w.slots {
+		held = append(held, s.current().HeldSpans()...)
+	}
+	return held
+}
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -68,6 +68,7 @@
 	w.Arrived = func(run standin.Run) {
 		s.records.arrival(Arrival{ID: run.ID, Worker: w.ID, Service: w.Service, At: time.Now()})
 	}
+	w.Used = s.records.used
 	w.Script = func(out http.ResponseWriter, r *http.Request) { s.serve(w, out, r) }
 	s.worker = w
 	s.link.Retarget(w.Address())
