--- a/proof/forwarding/limit.go
+++ b/proof/forwarding/limit.go
@@ -32,7 +32,7 @@
 // asked is what the limit needs to know of a request.
 type asked struct {
 	at, target, workMs float64
-	late, gain         float64
+	gain               float64
 }
 
 // limit returns a worth that can't be exceeded, as a share of what is owed.
