--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -183,19 +183,14 @@
 	if s == nil {
 		return
 	}
-	s.answered = latest(s.answered, a.began)
+	if a.began.After(s.answered) {
+		s.answered = a.began
+	}
 	if a.predicted > 0 {
 		s.observePace(now.Sub(a.began), a.predicted)
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // End books that a dispatch is over.
 func (b *Book) End(now time.Time, id string) {
 	a := b.active[id]
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -44,13 +44,21 @@
 	if s.engine == nil {
 		return 0
 	}
+	overdue := s.overdue(now)
+	if overdue <= stallGrace {
+		return 0
+	}
 	expected := stallGrace
 	if batch := s.batch(); batch.Answers > 0 {
 		expected += enginemodel.Millis(2 * s.engine.PassMs(batch) * s.trust.slowness())
 	}
-	return max(s.overdue(now)-expected, 0) * (stallFactor - 1)
+	return max(overdue-expected, 0) * (stallFactor - 1)
 }
 
+// MoveInterval is how often a request without a first event is looked at again after
+// MoveCheck. A look costs one choice, and a stall shows within tens of milliseconds.
+const MoveInterval = 50 * time.Millisecond
+
 // MoveCheck is when a request that has no first event yet is looked at again: when the
 // event would be overdue. It is zero for a request that stays in any case: a divided
 // prompt, whose reads elsewhere would be lost, and a plain service's.
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -9,10 +9,6 @@
 	"arbutusdeck/core/placement"
 )
 
-// moveInterval is how often a request without a first event is looked at again. Stalls are
-// told apart after some 60 ms; a look costs one choice.
-const moveInterval = 50 * time.Millisecond
-
 // stallWatch breaks a try off while its server is stalled and another one would begin
 // sooner. The zero value watches nothing.
 type stallWatch struct {
@@ -70,7 +66,7 @@
 			cancel()
 			return
 		}
-		watch.after(moveInterval, look)
+		watch.after(placement.MoveInterval, look)
 	}
 	watch.after(check, look)
 	return watch
--- a/proof/forwarding/request.go
+++ b/proof/forwarding/request.go
@@ -68,10 +68,6 @@
 	d.watchStall(r, id, query)
 }
 
-// moveInterval is how often a request that has no first event is looked at again, in
-// milliseconds.
-const moveInterval = 50
-
 // watchStall moves a request to another server if its own is stalled.
 func (d *day) watchStall(r *request, id string, query placement.Query) {
 	check := placement.MoveCheck(r.choice, query.Engine)
@@ -89,21 +85,30 @@
 		d.again(r, r.choice.Server.ID)
 		return
 	}
-	d.at(d.now+moveInterval, func() { d.lookForStall(r, id, query) })
+	d.at(d.now+ms(placement.MoveInterval), func() { d.lookForStall(r, id, query) })
 }
 
 // refuse answers a request that was not run. Its caller comes back once, when it was told to,
 // as long as that is within a third of its time.
 func (d *day) refuse(r *request, after time.Duration) {
+	if !d.mayReturn(r) {
+		return
+	}
+	left := ms(r.class.Deadline) - (d.now - r.arrived)
+	told := ms(after) * (0.75 + 0.5*d.ties.Float64())
+	d.sleep(r, min(told, left/3))
+}
+
+// mayReturn counts a caller's return and forgets what it met before; one that has come back
+// often enough leaves.
+func (d *day) mayReturn(r *request) bool {
 	r.returns++
 	if r.returns > callerReturns {
 		d.leave(r)
-		return
+		return false
 	}
 	r.excluded, r.tries, r.sent = nil, 0, 0
-	left := float64(r.class.Deadline.Milliseconds()) - (d.now - r.arrived)
-	told := after.Seconds() * 1000 * (0.75 + 0.5*d.ties.Float64())
-	d.sleep(r, min(told, left/3))
+	return true
 }
 
 // callerReturns is how often callers come back after a refusal or a broken connection.
@@ -278,8 +283,13 @@
 	if r.id == "" {
 		return
 	}
-	for i := range len(r.choice.Helpers) + 1 {
-		d.engines[r.choice.At(i).ID].Cancel(r.id)
+	d.cancelAt(r.choice, r.id)
+}
+
+// cancelAt ends a try at all engines that read it.
+func (d *day) cancelAt(choice placement.Choice, id string) {
+	for i := range len(choice.Helpers) + 1 {
+		d.engines[choice.At(i).ID].Cancel(id)
 	}
 }
 
--- a/proof/forwarding/trouble.go
+++ b/proof/forwarding/trouble.go
@@ -68,12 +68,9 @@
 
 // comeBack makes a caller come back whose connection broke.
 func (d *day) comeBack(r *request) {
-	r.returns++
-	if r.returns > callerReturns {
-		d.leave(r)
+	if !d.mayReturn(r) {
 		return
 	}
-	r.excluded, r.tries, r.sent = nil, 0, 0
 	d.sleep(r, d.ties.Float64()*reconnectMs)
 }
 
@@ -101,11 +98,8 @@
 // endOrphans ends the work whose events reach a started entry.
 func (d *day) endOrphans() {
 	for _, o := range d.orphans {
-		if !o.writing {
-			continue
-		}
-		for i := range len(o.choice.Helpers) + 1 {
-			d.engines[o.choice.At(i).ID].Cancel(o.id)
+		if o.writing {
+			d.cancelAt(o.choice, o.id)
 		}
 	}
 	d.orphans = nil
