Tell starts of a server apart by its birth, and believe no row of another writer

Change: a start is named by identifier and birth, and everything that is believed hangs on that name; a row of an earlier birth changes nothing, leaving ends with its start and outlives the removal of its row, a renewal passes over servers that started anew. One log line a response and the counter store.rows.rejected.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -6,12 +6,18 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
-// Server is one start of a backend server. A restarted server is another one.
+// Server is one start of a backend server. A restarted server is another one, also
+// where it keeps its identifier.
 type Server struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Born is the start's birth by the server's own clock, in Unix milliseconds; 0 if
+	// the server doesn't tell it.
+	Born    int64  `json:"born,omitempty"`
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
@@ -22,15 +28,50 @@
 	SlowFor time.Duration `json:"slowFor,omitempty"`
 	// Revision is the platform's revision of the row.
 	Revision uint64 `json:"revision"`
+	// start is the name of the start, kept so that a choice need not build it.
+	start string
 }
 
-// IDs returns the identifiers of servers, in their order.
-func IDs(servers []Server) []string {
-	ids := make([]string, 0, len(servers))
+// Start names this start of the server: its identifier, and its birth if it is told.
+// What is believed of a server (load, memory, failures, leaving) hangs on this name, so
+// that nothing of a start that has died counts for the next one under its identifier.
+func (s Server) Start() string {
+	switch {
+	case s.start != "":
+		return s.start
+	case s.Born == 0:
+		return s.ID
+	}
+	return s.ID + birthMark + strconv.FormatInt(s.Born, birthBase)
+}
+
+const (
+	// birthMark separates identifier and birth in the name of a start.
+	birthMark = "@"
+	// birthBase writes the birth in as few letters as the library can.
+	birthBase = 36
+)
+
+// parseStart is the reverse of Start; born is 0 if the name has none.
+func parseStart(start string) (id string, born int64) {
+	id, mark, found := strings.Cut(start, birthMark)
+	if !found {
+		return start, 0
+	}
+	born, err := strconv.ParseInt(mark, birthBase, 64)
+	if err != nil {
+		return start, 0
+	}
+	return id, born
+}
+
+// Starts returns the names of servers' starts, in their order.
+func Starts(servers []Server) []string {
+	starts := make([]string, 0, len(servers))
 	for _, server := range servers {
-		ids = append(ids, server.ID)
+		starts = append(starts, server.Start())
 	}
-	return ids
+	return starts
 }
 
 // Options bound what is believed.
@@ -50,13 +91,22 @@
 	missingSince time.Time
 }
 
+// departure is how a server was last known when it left.
+type departure struct {
+	revision uint64
+	// born and leaving are those of the start that left. A start that has announced that
+	// it leaves stays leaving if a row of it that was written late brings it back.
+	born    int64
+	leaving bool
+}
+
 // Directory is not safe for concurrent use.
 type Directory struct {
 	options Options
 	entries map[string]*entry
-	// left holds the servers that left, with the revision at which they did, so
-	// that a stale list or a peer that lags can't bring them back.
-	left    map[string]uint64
+	// left holds the servers that left, by their identifiers, so that a stale list or a
+	// peer that lags can't bring them back.
+	left    map[string]departure
 	changed bool
 	byName  map[string][]Server
 }
@@ -66,7 +116,7 @@
 	if options.ReturnGrace == 0 {
 		options.ReturnGrace = DefaultReturnGrace
 	}
-	return &Directory{options: options, entries: map[string]*entry{}, left: map[string]uint64{}, changed: true}
+	return &Directory{options: options, entries: map[string]*entry{}, left: map[string]departure{}, changed: true}
 }
 
 // Change is one thing that became known, for the trail.
@@ -75,32 +125,67 @@
 	Revision                       uint64
 }
 
-// Upsert takes in a row. A row that is older than what is known is passed over,
-// and so is one of a server that has left since.
+// Upsert takes in a row. A row that is older than what is known is passed over, and so
+// is one of a server that has left since, or of an earlier start than the one known: such
+// a start is dead, and its row was written or delivered late.
 func (d *Directory) Upsert(server Server) (Change, bool) {
+	server.start = server.Start()
 	if left, ok := d.left[server.ID]; ok {
-		if server.Revision <= left {
+		if server.Revision <= left.revision || server.Born < left.born {
 			return Change{}, false
 		}
+		server.Leaving = server.Leaving || left.leaving && server.Born == left.born && left.born != 0
 		delete(d.left, server.ID)
 	}
 	known := d.entries[server.ID]
 	if known == nil {
 		d.entries[server.ID] = &entry{Server: server}
 		d.changed = true
-		return Change{server.ID, server.Service, "", stateOf(server), "listed", server.Revision}, true
+		return Change{server.start, server.Service, "", stateOf(server), "listed", server.Revision}, true
+	}
+	if server.Born != 0 && server.Born < known.Born {
+		return Change{}, false
 	}
 	known.missingSince = time.Time{}
-	if server.Revision <= known.Revision {
+	switch {
+	case server.Revision <= known.Revision:
 		return Change{}, false
+	case d.LacksBirth(server):
+		return d.Reject(server.ID, server.Revision)
 	}
-	from := stateOf(known.Server)
-	// Leaving sticks to one start of a server: a row written before the notice
-	// and delivered late must not bring new work to it.
-	server.Leaving = server.Leaving || known.Leaving
+	return d.update(known, server)
+}
+
+// LacksBirth says whether a row lacks the birth that rows of the same server have had: it
+// was written by somebody else.
+func (d *Directory) LacksBirth(server Server) bool {
+	known := d.entries[server.ID]
+	return server.Born == 0 && known != nil && known.Born != 0
+}
+
+// update takes a newer row of a known server into force.
+func (d *Directory) update(known *entry, server Server) (Change, bool) {
+	from, why := stateOf(known.Server), "updated"
+	if server.Born == known.Born {
+		// Leaving sticks to one start of a server: a row written before the notice
+		// and delivered late must not bring new work to it.
+		server.Leaving = server.Leaving || known.Leaving
+	} else {
+		why = "started anew"
+	}
+	restarted := server.start != known.start
 	known.Server = server
 	d.changed = true
-	return Change{server.ID, server.Service, from, stateOf(server), "updated", server.Revision}, from != stateOf(server)
+	return Change{server.start, server.Service, from, stateOf(server), why, server.Revision}, restarted || from != stateOf(server)
+}
+
+// Reject takes in that a row can't be read, or was written by somebody else. Until a
+// good one follows it names no server to use, also where a good one stood before: the
+// address in that one may be another's by now.
+func (d *Directory) Reject(id string, revision uint64) (Change, bool) {
+	change, ok := d.Remove(id, revision)
+	change.Why = "its row can't be used"
+	return change, ok
 }
 
 // Remove takes in that a row was removed at a revision.
@@ -109,13 +194,18 @@
 	if known != nil && known.Revision > revision {
 		return Change{}, false
 	}
-	d.left[id] = max(d.left[id], revision)
+	left := d.left[id]
+	left.revision = max(left.revision, revision)
+	if known != nil {
+		left.born, left.leaving = known.Born, known.Leaving
+	}
+	d.left[id] = left
 	if known == nil {
 		return Change{}, false
 	}
 	delete(d.entries, id)
 	d.changed = true
-	return Change{id, known.Service, stateOf(known.Server), "gone", "removed", revision}, true
+	return Change{known.start, known.Service, stateOf(known.Server), "gone", "removed", revision}, true
 }
 
 // massShare is the share of known rows that must be missing at once for them to be
@@ -232,7 +322,13 @@
 }
 
 // Left returns the servers that left, with the revisions at which they did.
-func (d *Directory) Left() map[string]uint64 { return d.left }
+func (d *Directory) Left() map[string]uint64 {
+	left := make(map[string]uint64, len(d.left))
+	for id, departure := range d.left {
+		left[id] = departure.revision
+	}
+	return left
+}
 
 // Get returns a server by its identifier.
 func (d *Directory) Get(id string) (Server, bool) {
@@ -243,5 +339,33 @@
 	return known.Server, true
 }
 
+// Lookup returns the server that a name of a start means. The start may be one that is
+// newer than the row known here: another entry hears of it first. A name without a birth
+// comes from an entry that knows none, and means the present start. It returns false for a
+// start that is known to be dead.
+func (d *Directory) Lookup(start string) (Server, bool) {
+	id, born := parseStart(start)
+	server, ok := d.Get(id)
+	if !ok || born != 0 && born < server.Born {
+		return Server{}, false
+	}
+	return server, true
+}
+
+// IsCurrent says whether a start is the one that is known now.
+func (d *Directory) IsCurrent(start string) bool {
+	id, _ := parseStart(start)
+	known := d.entries[id]
+	return known != nil && known.start == start
+}
+
+// Superseded says whether a later start of the same server is known, so that this one is
+// dead for certain. One that is merely not listed may live.
+func (d *Directory) Superseded(start string) bool {
+	id, born := parseStart(start)
+	known := d.entries[id]
+	return known != nil && born != 0 && born < known.Born
+}
+
 // Empty says that no server is known.
 func (d *Directory) Empty() bool { return len(d.entries) == 0 }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -183,7 +183,7 @@
 func (b *Book) candidates(now time.Time, q Query) []*candidate {
 	var found []*candidate
 	for _, listed := range q.Servers {
-		if slices.Contains(q.Exclude, listed.ID) {
+		if slices.Contains(q.Exclude, listed.Start()) {
 			continue
 		}
 		found = append(found, b.candidate(now, q, listed))
@@ -202,14 +202,14 @@
 const distrustLoss = 0.6
 
 func (b *Book) candidate(now time.Time, q Query, listed directory.Server) *candidate {
-	s := b.server(listed.ID, q.Engine)
+	s := b.server(listed.Start(), q.Engine)
 	s.advance(now)
 	c := &candidate{Server: listed, state: s, requests: s.requests()}
 	c.loss = s.trust.failShare(now) * distrustLoss * b.value(q.PromptTokens)
 	if listed.Zone != b.options.Zone {
 		c.loss += b.options.ZoneLoss
 	}
-	if q.Avoid[listed.ID] {
+	if q.Avoid[listed.Start()] {
 		c.loss += b.options.UnheardLoss * b.value(q.PromptTokens)
 	}
 	if q.Engine == nil {
--- a/entry/gateway/answers.go
+++ b/entry/gateway/answers.go
@@ -125,8 +125,8 @@
 
 // logChoice tells why the request goes where it goes.
 func (e *exchange) logChoice(choice placement.Choice) {
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "route": e.route.Name, "service": e.service.Name, "server": choice.Server.ID,
-		"serverRevision": choice.Server.Revision, "helpers": serverIDs(choice.Helpers), "held": choice.Held, "tokens": e.info.PromptTokens,
+	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "route": e.route.Name, "service": e.service.Name, "server": choice.Server.Start(),
+		"serverRevision": choice.Server.Revision, "helpers": directory.Starts(choice.Helpers), "held": choice.Held, "tokens": e.info.PromptTokens,
 		"predictedMs": choice.Predicted.Milliseconds(), "loss": math.Round(choice.Loss*100) / 100, "sentBefore": e.core.Sent(),
 		"serverBacklogMs": math.Round(choice.Known.BacklogMs), "serverRequests": choice.Known.Requests, "serverNewsMs": choice.Known.Age.Milliseconds(),
 		"waitedMs": time.Since(e.arrived).Milliseconds(), "configuration": e.table.Version(), "lastEvent": e.lastEvent}).Info("server chosen")
@@ -136,11 +136,3 @@
 	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
 		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.events, "lastEvent": e.lastEvent}).Info("try ended")
 }
-
-func serverIDs(servers []directory.Server) []string {
-	ids := make([]string, 0, len(servers))
-	for _, server := range servers {
-		ids = append(ids, server.ID)
-	}
-	return ids
-}
--- a/entry/gateway/book.go
+++ b/entry/gateway/book.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
@@ -50,6 +51,13 @@
 	s.book.Failed(time.Now(), server)
 }
 
+// superseded says whether a later start of a server is known.
+func (s *Server) superseded(server directory.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Superseded(server.Start())
+}
+
 func (s *Server) unreachable(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,14 +73,14 @@
 	now := time.Now()
 	for _, helper := range choice.Helpers {
 		if answer.FaultyAt != "" && helper.Address == answer.FaultyAt {
-			s.book.Unreachable(now, helper.ID)
-			return helper.ID
+			s.book.Unreachable(now, helper.Start())
+			return helper.Start()
 		}
 	}
 	if answer.Misdirected {
-		s.book.Unreachable(now, choice.Server.ID)
+		s.book.Unreachable(now, choice.Server.Start())
 	} else {
-		s.book.Failed(now, choice.Server.ID)
+		s.book.Failed(now, choice.Server.Start())
 	}
-	return choice.Server.ID
+	return choice.Server.Start()
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -299,7 +299,7 @@
 	if len(silent) == 0 {
 		return nil
 	}
-	return peering.ServersOf(silent, peering.Owners(all, directory.IDs(servers)))
+	return peering.ServersOf(silent, peering.Owners(all, directory.Starts(servers)))
 }
 
 // catchUp takes over the view of a peer that knows more: the configuration always,
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -123,8 +123,10 @@
 
 func (s *Server) replaceServers(changes platform.Changes, afterOutage bool) {
 	now := time.Now()
+	s.logRejected(changes, "platform")
 	s.mu.Lock()
-	noted := s.directory.Replace(now, changes.Servers, changes.Revision, afterOutage)
+	noted := s.reject(changes.Rejected)
+	noted = append(noted, s.directory.Replace(now, changes.Servers, changes.Revision, afterOutage)...)
 	s.revision = max(s.revision, changes.Revision)
 	s.mu.Unlock()
 	s.noteServers(noted, "platform")
@@ -133,15 +135,12 @@
 
 // take brings what the store told into force.
 func (s *Server) take(changes platform.Changes, source string) {
-	for _, err := range changes.Rejected {
-		s.log.WithError(err).WithField("revision", changes.Revision).Error("a row of the store can't be read; the last good one stays in force")
-		s.audit(audit.Event{Area: audit.Configuration, Subject: "row", Why: err.Error(), Source: source, Revision: changes.Revision, Refused: true})
-	}
+	s.logRejected(changes, source)
 	if changes.Configuration != nil {
 		s.adopt(changes.Configuration, source)
 	}
-	var noted []directory.Change
 	s.mu.Lock()
+	noted := s.reject(changes.Rejected)
 	for _, server := range changes.Servers {
 		if change, ok := s.directory.Upsert(server); ok {
 			noted = append(noted, change)
@@ -156,6 +155,34 @@
 	s.noteServers(noted, source)
 }
 
+// logRejected writes one line for all rows of a response that can't be read: whoever
+// else writes to the store could otherwise fill the log.
+func (s *Server) logRejected(changes platform.Changes, source string) {
+	if len(changes.Rejected) == 0 {
+		return
+	}
+	s.counters.rowsRejected.Inc(int64(len(changes.Rejected)))
+	s.log.WithError(changes.Rejected[0].Err).WithFields(logrus.Fields{"revision": changes.Revision, "rows": len(changes.Rejected), "source": source}).
+		Error("rows of the store can't be read; they name no server to use, and a configuration among them leaves the last good one in force")
+	for _, rejection := range changes.Rejected {
+		s.audit(audit.Event{Area: audit.Configuration, Subject: "row", Why: rejection.Err.Error(), Source: source, Revision: rejection.Revision, Refused: true})
+	}
+}
+
+// reject drops the servers whose rows can't be read; the caller holds the lock.
+func (s *Server) reject(rejected []platform.Rejection) []directory.Change {
+	var noted []directory.Change
+	for _, rejection := range rejected {
+		if rejection.Server == "" {
+			continue
+		}
+		if change, ok := s.directory.Reject(rejection.Server, rejection.Revision); ok {
+			noted = append(noted, change)
+		}
+	}
+	return noted
+}
+
 // adopt brings a configuration into force unless one of the same or a higher
 // version is.
 func (s *Server) adopt(definition *routes.Definition, source string) {
@@ -188,10 +215,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.book.Retain(func(id string) bool {
-		_, ok := s.directory.Get(id)
-		return ok
-	})
+	s.book.Retain(s.directory.IsCurrent)
 	s.mu.Unlock()
 	for _, change := range changes {
 		s.log.WithFields(logrus.Fields{"server": change.Server, "service": change.Service, "from": change.From, "to": change.To,
@@ -201,10 +225,10 @@
 	}
 }
 
-// engineOf returns the engine of a server's service; it is nil for a plain
-// service. The caller holds the lock.
-func (s *Server) engineOf(id string) (*enginemodel.Engine, bool) {
-	server, ok := s.directory.Get(id)
+// engineOf returns the engine of a server's service by the name of its start; it is nil
+// for a plain service. The caller holds the lock.
+func (s *Server) engineOf(start string) (*enginemodel.Engine, bool) {
+	server, ok := s.directory.Lookup(start)
 	table := s.table.Load()
 	if !ok || table == nil {
 		return nil, false
--- a/entry/gateway/reservation.go
+++ b/entry/gateway/reservation.go
@@ -77,20 +77,24 @@
 	return r, nil
 }
 
-// order sends the reservation to all servers and joins the errors. first notes
-// servers without memory as full.
+// order sends the reservation to all servers and joins the errors. first notes servers
+// without memory as full. A renewal passes over servers that have started anew: what was
+// held there is gone, and the order would set memory aside that no request uses.
 func (r *reservation) order(ctx context.Context, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	errs := make([]error, len(r.holding))
 	var wait sync.WaitGroup
 	for i, h := range r.holding {
+		if !first && r.s.superseded(h.server) {
+			continue
+		}
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			errs[i] = platform.Reserve(ctx, r.s.orders, h.server.Address, r.id, h.tokens, r.hold)
 			if first && errs[i] != nil {
-				r.s.serverFailed(h.server.ID)
+				r.s.serverFailed(h.server.Start())
 			}
 		}()
 	}
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -75,9 +75,9 @@
 }
 
 type counters struct {
-	requests, complete, refused, unknown, gone, again, resumed, moved metrics.Counter
-	storeCalls, storeErrors, peerMessages, peerBytes, linesDropped    metrics.Counter
-	firstByte, whole                                                  metrics.Timer
+	requests, complete, refused, unknown, gone, again, resumed, moved            metrics.Counter
+	storeCalls, storeErrors, rowsRejected, peerMessages, peerBytes, linesDropped metrics.Counter
+	firstByte, whole                                                             metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -88,6 +88,7 @@
 		again: metrics.NewRegisteredCounter("attempts.again", r), resumed: metrics.NewRegisteredCounter("attempts.resumed", r),
 		moved:      metrics.NewRegisteredCounter("attempts.moved", r),
 		storeCalls: metrics.NewRegisteredCounter("store.calls", r), storeErrors: metrics.NewRegisteredCounter("store.errors", r),
+		rowsRejected: metrics.NewRegisteredCounter("store.rows.rejected", r),
 		peerMessages: metrics.NewRegisteredCounter("peer.messages", r), peerBytes: metrics.NewRegisteredCounter("peer.bytes", r),
 		linesDropped: metrics.NewRegisteredCounter("log.lines.dropped", r),
 		firstByte:    metrics.NewRegisteredTimer("first.byte", r), whole: metrics.NewRegisteredTimer("whole.answer", r),
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -62,7 +62,7 @@
 	dispatch := e.dispatch(choice)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
 	if err != nil {
-		return e.ended(ctx, server.ID, execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
+		return e.ended(ctx, server.Start(), execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
 	}
 	defer func() {
 		released := reservation.end()
@@ -78,7 +78,7 @@
 	request := e.upstream(sending, choice, reservation)
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
-		return e.noAnswer(ctx, server.ID, err)
+		return e.noAnswer(ctx, server.Start(), err)
 	}
 	defer response.Body.Close()
 	return e.readAnswer(ctx, choice, &progress{reservation, stall}, response)
@@ -184,20 +184,20 @@
 
 // dispatch is what the book and the other entries are told of a try.
 func (e *exchange) dispatch(choice placement.Choice) placement.Dispatch {
-	d := placement.Dispatch{ID: e.s.dispatchID(), Server: choice.Server.ID, Held: choice.Held, Life: time.Until(e.deadline)}
+	d := placement.Dispatch{ID: e.s.dispatchID(), Server: choice.Server.Start(), Held: choice.Held, Life: time.Until(e.deadline)}
 	if e.service.Engine != nil {
 		d.PromptTokens, d.AnswerTokens, d.Gap = e.info.PromptTokens, e.answerTokens(), e.route.EventGap
 		d.Target = max(e.route.Target-time.Since(e.arrived), time.Millisecond)
 	}
 	for _, helper := range choice.Helpers {
-		d.Helpers = append(d.Helpers, helper.ID)
+		d.Helpers = append(d.Helpers, helper.Start())
 	}
 	return d
 }
 
 // readAnswer judges the headers of an answer and passes it on.
 func (e *exchange) readAnswer(ctx context.Context, choice placement.Choice, progress *progress, response *http.Response) tryResult {
-	server := choice.Server.ID
+	server := choice.Server.Start()
 	e.core.Sending()
 	answer := platform.ParseAnswer(response.StatusCode, response.Header)
 	if answer.ID != "" && answer.ID != e.info.ID {
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -93,6 +93,9 @@
 		}
 	}
 	for _, server := range v.Servers {
+		if s.directory.LacksBirth(server) {
+			continue // the peer is of a version that doesn't know births
+		}
 		if change, ok := s.directory.Upsert(server); ok {
 			changes = append(changes, change)
 		}
--- a/proof/forwarding/day.go
+++ b/proof/forwarding/day.go
@@ -113,7 +113,7 @@
 	}
 	d.options = options
 	d.scheduleTrouble()
-	d.owners = peering.Owners(names(site.Entries, entryName), directory.IDs(d.listed))
+	d.owners = peering.Owners(names(site.Entries, entryName), directory.Starts(d.listed))
 	for i := range site.Classes {
 		d.scheduleArrival(i, 0)
 	}
