Keep entries to the servers of their zone where each zone has enough, and news within it

Cause: every entry heard of every request of all others and chose among all servers.

Change: core/parts divides the servers by zone where each zone has 24 or more; entries then choose among their zone's servers, tell only their zone of requests, and one entry of each other zone by turns that they live.

Left: an entry whose zone has no room doesn't use other zones yet; store calls.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -4,7 +4,6 @@
 package directory
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -109,8 +108,12 @@
 	left    map[string]departure
 	changed bool
 	byName  map[string][]Server
+	byZone  map[zoneOf][]Server
 }
 
+// zoneOf is a service in an availability zone.
+type zoneOf struct{ service, zone string }
+
 // New returns an empty directory.
 func New(options Options) *Directory {
 	if options.ReturnGrace == 0 {
@@ -299,15 +302,34 @@
 	return d.byName[service]
 }
 
+// AvailableIn returns those of a service in an availability zone. The slice is shared and
+// must not be changed.
+func (d *Directory) AvailableIn(service, zone string) []Server {
+	if d.changed {
+		d.index()
+	}
+	return d.byZone[zoneOf{service, zone}]
+}
+
+// Zones returns how many servers of a service take new work in each zone.
+func (d *Directory) Zones(service string) map[string]int {
+	zones := map[string]int{}
+	for _, server := range d.Available(service) {
+		zones[server.Zone]++
+	}
+	return zones
+}
+
 func (d *Directory) index() {
-	d.byName = map[string][]Server{}
-	for _, known := range d.entries {
-		if !known.Leaving {
-			d.byName[known.Service] = append(d.byName[known.Service], known.Server)
+	d.byName, d.byZone = map[string][]Server{}, map[zoneOf][]Server{}
+	for _, id := range d.ids() {
+		known := d.entries[id].Server
+		if known.Leaving {
+			continue
 		}
-	}
-	for _, servers := range d.byName {
-		slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+		place := zoneOf{known.Service, known.Zone}
+		d.byName[known.Service] = append(d.byName[known.Service], known)
+		d.byZone[place] = append(d.byZone[place], known)
 	}
 	d.changed = false
 }
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -6,35 +6,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
-
-	"arbutusdeck/core/placement"
 )
 
-// Message is what one entry sends to another.
-type Message struct {
-	// From is the sender's peer address, Incarnation its start.
-	From        string `cbor:"1,keyasint,omitempty"`
-	Incarnation string `cbor:"2,keyasint,omitempty"`
-	// Known are the addresses of other entries, in heartbeats only.
-	Known []string `cbor:"3,keyasint,omitempty"`
-	// Version is the sender's configuration, Revision the platform's revision
-	// up to which its list of servers is complete.
-	Version  uint64 `cbor:"4,keyasint,omitempty"`
-	Revision uint64 `cbor:"5,keyasint,omitempty"`
-	// Begun, First and Ended are requests that were sent to a server, have
-	// their first event, and are over.
-	Begun []placement.Dispatch `cbor:"6,keyasint,omitempty"`
-	First []string             `cbor:"7,keyasint,omitempty"`
-	Ended []string             `cbor:"8,keyasint,omitempty"`
-	// Stopping says that the sender leaves.
-	Stopping bool `cbor:"9,keyasint,omitempty"`
-	// Starting says that the sender knows no backend servers yet; it could not
-	// book a request.
-	Starting bool `cbor:"10,keyasint,omitempty"`
-}
-
 // Bounds of the exchange.
 const (
 	// HeartbeatInterval is how often an entry is told that this one lives, and
@@ -54,19 +30,18 @@
 	SilentFor = 15 * time.Second
 )
 
-// listsPerHeartbeat is how many entries a heartbeat tells of all others. One that is heard
-// for the first time is told at once, so that a start needs no turn; the turns mend what
-// was lost. With 28 entries two lists in place of 27 save 24 KB a second and entry.
-const listsPerHeartbeat = 2
-
 type member struct {
 	address     string
 	incarnation string
-	heard       time.Time // zero if it was only told of
-	told        time.Time // when it became known
-	version     uint64
-	revision    uint64
-	stopping    bool
+	// zone is empty until it is known.
+	zone  string
+	heard time.Time // zero if it was only told of
+	told  time.Time // when it became known
+	// vouched is when an entry of its own zone last said that it runs.
+	vouched  time.Time
+	version  uint64
+	revision uint64
+	stopping bool
 	// stopped is when it was first heard to stop.
 	stopped time.Time
 	// serving is since when it is heard to take requests; zero while it does not.
@@ -79,15 +54,21 @@
 // use.
 type Group struct {
 	self        string
+	zone        string
 	incarnation string
 	seeds       []string
 	members     map[string]*member
-	most        int
+	// order is the addresses of members in their order; nil after a change.
+	order []string
+	most  int
+	// divided says that entries keep to the servers of their own zone, and tell each other
+	// of requests only within it.
+	divided bool
 }
 
-// New returns a group that knows the seeds.
-func New(self, incarnation string, seeds []string) *Group {
-	g := &Group{self: self, incarnation: incarnation, members: map[string]*member{}}
+// New returns a group of an entry in an availability zone that knows the seeds.
+func New(self, zone, incarnation string, seeds []string) *Group {
+	g := &Group{self: self, zone: zone, incarnation: incarnation, members: map[string]*member{}}
 	g.Seed(time.Time{}, seeds)
 	return g
 }
@@ -109,11 +90,22 @@
 	if m == nil {
 		m = &member{address: address, told: now}
 		g.members[address] = m
+		g.order = nil
 		g.most = max(g.most, len(g.members))
 	}
 	return m
 }
 
+// Divide sets whether entries keep to the servers of their own zone.
+func (g *Group) Divide(divided bool) { g.divided = divided }
+
+// Divided returns whether they do.
+func (g *Group) Divided() bool { return g.divided }
+
+// isNear says whether a member chooses among the same servers as this entry does. One
+// whose zone is not known may.
+func (g *Group) isNear(m *member) bool { return !g.divided || m.zone == "" || m.zone == g.zone }
+
 // Sender is what is known of the sender of a message.
 type Sender struct {
 	// Restarted: it is another start than the one known; what that had begun is over.
@@ -132,9 +124,12 @@
 		return Sender{}
 	}
 	sender := Sender{Restarted: known.incarnation != "" && known.incarnation != m.Incarnation}
-	sender.Joined = sender.Restarted || now.Sub(known.heard) >= SilentAfter
+	first := known.heard.IsZero()
+	known.zone = cmp.Or(m.Zone, known.zone)
+	// Entries of other zones are heard by turns only, and book nothing of this one's.
+	sender.Joined = first || sender.Restarted || g.isNear(known) && now.Sub(known.heard) >= SilentAfter
 	known.untold = known.untold || sender.Joined
-	sender.Missed = known.untold && !m.Starting
+	sender.Missed = known.untold && !m.Starting && g.isNear(known)
 	if sender.Missed {
 		known.untold = false
 	}
@@ -149,35 +144,37 @@
 	}
 	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
 	known.version, known.revision = m.Version, m.Revision
-	for _, address := range m.Known {
-		g.add(now, address)
-	}
+	g.learn(now, m)
 	return sender
 }
 
-// TellOf picks the entries that a heartbeat tells of all others: a few by turns, since
-// the list grows with the entries, and with it would grow each message to each of them.
-// turn counts the heartbeats.
-func (g *Group) TellOf(turn int) (told, rest []string) {
-	all := g.Addresses()
-	for i, address := range all {
-		if (i+turn*listsPerHeartbeat)%max(len(all), 1) < listsPerHeartbeat {
-			told = append(told, address)
-		} else {
-			rest = append(rest, address)
+// learn takes in the entries that a message tells of.
+func (g *Group) learn(now time.Time, m Message) {
+	for _, address := range m.Known {
+		g.add(now, address)
+	}
+	for _, told := range m.Members {
+		for _, address := range told.Addresses {
+			known := g.add(now, address)
+			if known == nil {
+				continue
+			}
+			known.zone = cmp.Or(known.zone, told.Zone)
+			if told.Zone == m.Zone {
+				known.vouched = now
+			}
 		}
 	}
-	return told, rest
 }
 
-// Silent returns the entries that are taken for cut off, and all that take part: this
-// one and those that are heard of or cut off.
+// Silent returns the near entries that are taken for cut off, and all near ones that take
+// part: this one and those that are heard of or cut off.
 func (g *Group) Silent(now time.Time) (silent, all []string) {
 	all = []string{g.self}
 	for _, address := range g.Addresses() {
 		m := g.members[address]
 		quiet := now.Sub(m.heard)
-		if m.heard.IsZero() || m.stopping || quiet >= SilentFor {
+		if !g.isNear(m) || m.heard.IsZero() || m.stopping || quiet >= SilentFor {
 			continue
 		}
 		all = append(all, address)
@@ -188,51 +185,15 @@
 	return silent, all
 }
 
-// NextServing is how long it takes at most until callers reach another entry that takes
-// requests; 0 if they do now. limit is how long a planned stop takes at most. It returns
-// false if no other entry is known to come back.
-func (g *Group) NextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
-	soonest, found := time.Duration(0), false
-	for _, m := range g.members {
-		wait, ok := m.nextServing(now, limit)
-		if ok && (!found || wait < soonest) {
-			soonest, found = wait, true
-		}
-	}
-	return soonest, found
-}
-
-func (m *member) nextServing(now time.Time, limit time.Duration) (time.Duration, bool) {
-	quiet := now.Sub(m.heard)
-	switch {
-	case m.heard.IsZero():
-		return 0, false
-	case m.stopping:
-		return max(m.stopped.Add(limit).Sub(now), 0) + StartTime + BalancerTime, quiet < limit+StartTime
-	case m.serving.IsZero():
-		return StartTime + BalancerTime, quiet < AliveAfter
-	}
-	return max(m.serving.Add(BalancerTime).Sub(now), 0), quiet < AliveAfter
-}
-
-const (
-	// StartTime is how long an entry takes from its end to serving again: the platform's
-	// delay before a start, and the first read of the store.
-	StartTime = 600 * time.Millisecond
-	// BalancerTime is how long the platform's balancer takes to send callers to an entry
-	// that has begun to serve: it asks once a second. A caller that comes back sooner is
-	// sent to one that stops, and refused again.
-	BalancerTime = 1200 * time.Millisecond
-)
-
 // Forget drops the members that were not heard of for long.
 func (g *Group) Forget(now time.Time) {
 	for address, m := range g.members {
 		if slices.Contains(g.seeds, address) {
 			continue
 		}
-		if now.Sub(latest(m.heard, m.told)) > ForgetAfter {
+		if now.Sub(latest(latest(m.heard, m.vouched), m.told)) > ForgetAfter {
 			delete(g.members, address)
+			g.order = nil
 		}
 	}
 }
@@ -244,26 +205,80 @@
 	return b
 }
 
-// Addresses returns all known members in a fixed order.
+// Addresses returns all known members in a fixed order. The slice is shared and must not
+// be changed.
 func (g *Group) Addresses() []string {
-	addresses := make([]string, 0, len(g.members))
-	for address := range g.members {
-		addresses = append(addresses, address)
+	if g.order == nil {
+		g.order = slices.Sorted(maps.Keys(g.members))
 	}
-	slices.Sort(addresses)
-	return addresses
+	return g.order
 }
 
 // Alive returns the members heard of lately, in a fixed order.
 func (g *Group) Alive(now time.Time) []string {
-	var alive []string
+	return g.pick(func(m *member) bool { return m.isHeard(now) })
+}
+
+// Near returns the members heard of lately that choose among the same servers as this
+// entry: they are told of each of its requests.
+func (g *Group) Near(now time.Time) []string {
+	return g.pick(func(m *member) bool { return g.isNear(m) && m.isHeard(now) })
+}
+
+// In returns the members of another zone that run, by their own word or by that of their
+// neighbours.
+func (g *Group) In(now time.Time, zone string) []string {
+	return g.pick(func(m *member) bool { return m.zone == zone && m.runs(now) })
+}
+
+// Zone returns the zone of a member; it is empty if it is not known.
+func (g *Group) Zone(address string) string {
+	if m := g.members[address]; m != nil {
+		return m.zone
+	}
+	return ""
+}
+
+// Running returns the members that run, and this one, by zone: what near entries are told.
+func (g *Group) Running(now time.Time) []ZoneMembers {
+	zones := map[string][]string{g.zone: {g.self}}
 	for _, address := range g.Addresses() {
-		m := g.members[address]
-		if !m.heard.IsZero() && now.Sub(m.heard) < AliveAfter {
-			alive = append(alive, address)
+		if m := g.members[address]; g.mayTell(now, m) {
+			zones[m.zone] = append(zones[m.zone], address)
+		}
+	}
+	told := make([]ZoneMembers, 0, len(zones))
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		told = append(told, ZoneMembers{Zone: zone, Addresses: zones[zone]})
+	}
+	return told
+}
+
+// mayTell says whether others are told that a member runs. Of its own zone an entry tells
+// only what it hears itself: neighbours that believed each other's word would keep a dead
+// entry alive between them for ever.
+func (g *Group) mayTell(now time.Time, m *member) bool {
+	return m.isHeard(now) || m.zone != g.zone && m.runs(now)
+}
+
+func (m *member) isHeard(now time.Time) bool {
+	return !m.heard.IsZero() && now.Sub(m.heard) < AliveAfter
+}
+
+// runs says whether a member is heard, or a neighbour of it says that it is.
+func (m *member) runs(now time.Time) bool {
+	return m.isHeard(now) || !m.vouched.IsZero() && now.Sub(m.vouched) < AliveAfter
+}
+
+// pick returns the addresses of the members for which a condition holds, in a fixed order.
+func (g *Group) pick(holds func(*member) bool) []string {
+	var picked []string
+	for _, address := range g.Addresses() {
+		if holds(g.members[address]) {
+			picked = append(picked, address)
 		}
 	}
-	return alive
+	return picked
 }
 
 // Size returns how many entries there may be, this one included: the most that
--- a/core/peering/group_test.go
+++ b/core/peering/group_test.go
@@ -14,7 +14,7 @@
 }
 
 func TestEntriesFindEachOtherThroughSeeds(t *testing.T) {
-	g := New("c:1", "i", []string{"a:1", "c:1"})
+	g := New("c:1", "here", "i", []string{"a:1", "c:1"})
 	require.Equal(t, []string{"a:1"}, g.Addresses())
 	require.Empty(t, g.Alive(start), "a seed may be stale")
 	g.Heard(start, message("a:1", "x", 1, 1, "b:1", "c:1"))
@@ -26,7 +26,7 @@
 // The dispatches of an entry that was killed would stay booked and keep others off
 // servers that are free.
 func TestANewStartOfAnEntryIsNoticed(t *testing.T) {
-	g := New("c:1", "i", nil)
+	g := New("c:1", "here", "i", nil)
 	heard := func(incarnation string) bool {
 		return g.Heard(start, message("a:1", incarnation, 1, 1)).Restarted
 	}
@@ -37,7 +37,7 @@
 
 // An entry that was cut off, or has just started, knows nothing of what goes on here.
 func TestAnEntryThatMissedNewsIsNoticed(t *testing.T) {
-	g := New("c:1", "i", nil)
+	g := New("c:1", "here", "i", nil)
 	missed := func(after time.Duration, incarnation string) bool {
 		return g.Heard(start.Add(after), message("a:1", incarnation, 1, 1)).Missed
 	}
@@ -50,7 +50,7 @@
 // A starting entry knows no servers yet and could not book what it is told. It is told
 // when it can.
 func TestAStartingEntryIsToldWhenItCanBook(t *testing.T) {
-	g := New("c:1", "i", nil)
+	g := New("c:1", "here", "i", nil)
 	starting := message("a:1", "x", 1, 1)
 	starting.Starting = true
 	require.Equal(t, Sender{Joined: true}, g.Heard(start, starting))
@@ -63,7 +63,7 @@
 // after two missed heartbeats, and for gone when it stays away; one that has said that
 // it stops is not missed.
 func TestSilentEntriesAreThoseThatMayStillServe(t *testing.T) {
-	g := New("c:1", "i", []string{"never:1"})
+	g := New("c:1", "here", "i", []string{"never:1"})
 	g.Heard(start, message("a:1", "x", 1, 1))
 	stopping := message("b:1", "x", 1, 1)
 	stopping.Stopping = true
@@ -82,7 +82,7 @@
 // An entry that can't be heard still spends its part of the shared budget of
 // retries; forgetting it must not raise the parts of the others.
 func TestTheSizeNeverShrinks(t *testing.T) {
-	g := New("c:1", "i", []string{"a:1"})
+	g := New("c:1", "here", "i", []string{"a:1"})
 	g.Heard(start, message("b:1", "x", 1, 1))
 	require.Equal(t, 3, g.Size())
 	g.Forget(start.Add(ForgetAfter + time.Second))
@@ -91,7 +91,7 @@
 }
 
 func TestTheNewestViewIsFetched(t *testing.T) {
-	g := New("c:1", "i", nil)
+	g := New("c:1", "here", "i", nil)
 	g.Heard(start, message("a:1", "x", 4, 9))
 	g.Heard(start, message("b:1", "x", 5, 7))
 	peer, ok := g.Newer(start, 4, 8, false)
@@ -108,23 +108,22 @@
 
 // The list of all entries goes to a few at a time; within some heartbeats each has had it.
 func TestAllAreToldOfAllByTurns(t *testing.T) {
-	g := New("self:1", "i", nil)
+	g := New("self:1", "here", "i", nil)
 	for _, address := range named("e", 28) {
 		g.Heard(start, message(address, "x", 1, 1))
 	}
 	had := map[string]bool{}
 	for turn := range 14 {
-		told, rest := g.TellOf(turn)
-		require.Len(t, told, listsPerHeartbeat)
-		require.Len(t, rest, 28-listsPerHeartbeat)
-		for _, address := range told {
+		beat := g.Heartbeat(start, turn)
+		require.Len(t, beat.Lists, listsPerHeartbeat)
+		require.Len(t, beat.Rest, 28-listsPerHeartbeat)
+		for _, address := range beat.Lists {
 			had[address] = true
 		}
 	}
 	require.Len(t, had, 28)
-	told, rest := New("self:1", "i", []string{"a:1"}).TellOf(7)
-	require.Equal(t, []string{"a:1"}, told)
-	require.Empty(t, rest)
+	beat := New("self:1", "here", "i", []string{"a:1"}).Heartbeat(start, 7)
+	require.Equal(t, Heartbeat{Lists: []string{"a:1"}}, beat)
 }
 
 // Entries are restarted in turn, faster than they drain: all are stopping at the same time.
@@ -137,7 +136,7 @@
 		m.Stopping = true
 		return m
 	}
-	g := New("c:1", "i", []string{"never:1"})
+	g := New("c:1", "here", "i", []string{"never:1"})
 	_, ok := g.NextServing(start, limit)
 	require.False(t, ok, "nobody else is known")
 	g.Heard(start, stopping("a:1"))
--- /dev/null
+++ b/core/peering/message.go
@@ -0,0 +1,39 @@
+package peering
+
+import "arbutusdeck/core/placement"
+
+// Message is what one entry sends to another. Fields are numbered for the wire, see Encode.
+type Message struct {
+	// From is the sender's peer address, Incarnation its start.
+	From        string `cbor:"1,keyasint,omitempty"`
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	// Known are the addresses of other entries whose zones are not told.
+	Known []string `cbor:"3,keyasint,omitempty"`
+	// Version is the sender's configuration, Revision the platform's revision
+	// up to which its list of servers is complete.
+	Version  uint64 `cbor:"4,keyasint,omitempty"`
+	Revision uint64 `cbor:"5,keyasint,omitempty"`
+	// Begun, First and Ended are requests that were sent to a server, have
+	// their first event, and are over.
+	Begun []placement.Dispatch `cbor:"6,keyasint,omitempty"`
+	First []string             `cbor:"7,keyasint,omitempty"`
+	Ended []string             `cbor:"8,keyasint,omitempty"`
+	// Stopping says that the sender leaves.
+	Stopping bool `cbor:"9,keyasint,omitempty"`
+	// Starting says that the sender knows no backend servers yet; it could not
+	// book a request.
+	Starting bool `cbor:"10,keyasint,omitempty"`
+	// Zone is the sender's availability zone.
+	Zone string `cbor:"11,keyasint,omitempty"`
+	// Members are the entries that the sender takes for running, by zone.
+	Members []ZoneMembers `cbor:"12,keyasint,omitempty"`
+}
+
+// ZoneMembers are the peer addresses of entries in one availability zone.
+type ZoneMembers struct {
+	Zone      string   `cbor:"1,keyasint,omitempty"`
+	Addresses []string `cbor:"2,keyasint,omitempty"`
+}
+
+// HasNews says whether the message tells of requests.
+func (m *Message) HasNews() bool { return len(m.Begun)+len(m.First)+len(m.Ended) > 0 }
--- a/entry/gateway/book.go
+++ b/entry/gateway/book.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutusdeck/core/directory"
-	"arbutusdeck/core/enginemodel"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
 )
@@ -17,28 +16,6 @@
 	return strconv.FormatUint(s.random.Uint64(), 36)
 }
 
-// bookBegin books a try here and with the other entries.
-func (s *Server) bookBegin(d placement.Dispatch, engine *enginemodel.Engine, predicted time.Duration) {
-	s.mu.Lock()
-	s.book.Begin(time.Now(), d, engine, predicted)
-	s.mu.Unlock()
-	s.peers.began(d)
-}
-
-func (s *Server) bookFirst(id string) {
-	s.mu.Lock()
-	s.book.FirstEvent(time.Now(), id)
-	s.mu.Unlock()
-	s.peers.first(id)
-}
-
-func (s *Server) bookEnd(id string) {
-	s.mu.Lock()
-	s.book.End(time.Now(), id)
-	s.mu.Unlock()
-	s.peers.ended(id)
-}
-
 func (s *Server) serverSucceeded(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -16,20 +16,10 @@
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
-	"arbutusdeck/core/placement"
 	"arbutusdeck/core/wire"
 )
 
 const (
-	// flushDelay gathers first events and ends into one datagram. A begin goes out
-	// at once, with what was gathered: a choice that another entry makes before it
-	// hears of it may take the same server. News 3 ms earlier served 0.007 more of
-	// the worth (virtual time, mean of both sizes).
-	flushDelay = 4 * time.Millisecond
-	// maxDispatches bounds the dispatches of a message so that it stays within
-	// one packet of a usual link (1,500 bytes); one with sixteen helpers takes
-	// some 400 bytes.
-	maxDispatches = 3
 	// peerFetchTimeout bounds the fetch of another entry's view.
 	peerFetchTimeout = 1500 * time.Millisecond
 	// peerDialTimeout bounds the connection for it.
@@ -49,16 +39,19 @@
 
 	mu       sync.Mutex
 	group    *peering.Group
-	pending  peering.Message
-	flushing bool
+	outgoing outgoing
 	fetching bool
 
 	// silent are the entries that were not heard at the last heartbeat.
 	silent []string
+
+	// addressesMu guards addresses, the peers' addresses as the socket takes them.
+	addressesMu sync.Mutex
+	addresses   map[string]net.Addr
 }
 
 func newPeerExchange(s *Server, group *peering.Group) *peerExchange {
-	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout)}
+	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), addresses: map[string]net.Addr{}}
 }
 
 func (p *peerExchange) router() http.Handler {
@@ -83,35 +76,18 @@
 	return nil
 }
 
-// began, first and ended tell the other entries of this one's requests.
-func (p *peerExchange) began(d placement.Dispatch) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pending.Begun = append(p.pending.Begun, d)
-	// Not in the request's own way: on a small host the messages to some thirty
-	// entries take milliseconds.
-	go p.flush()
-}
-
-func (p *peerExchange) first(id string) {
+// seed takes in changed seeds.
+func (p *peerExchange) seed(seeds []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pending.First = append(p.pending.First, id)
-	p.scheduleFlush()
+	p.group.Seed(time.Now(), seeds)
 }
 
-func (p *peerExchange) ended(id string) {
+// divide sets whether entries keep to the servers of their own zone.
+func (p *peerExchange) divide(divided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pending.Ended = append(p.pending.Ended, id)
-	p.scheduleFlush()
-}
-
-// seed takes in changed seeds.
-func (p *peerExchange) seed(seeds []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.group.Seed(time.Now(), seeds)
+	p.group.Divide(divided)
 }
 
 // size returns how many entries may spend a shared budget.
@@ -128,34 +104,12 @@
 	return p.group.NextServing(now, limit)
 }
 
-func (p *peerExchange) scheduleFlush() {
-	if p.flushing {
+// send sends a message to some entries.
+func (p *peerExchange) send(targets []string, m peering.Message) {
+	if len(targets) == 0 {
 		return
 	}
-	p.flushing = true
-	time.AfterFunc(flushDelay, p.flush)
-}
-
-func (p *peerExchange) flush() {
-	p.mu.Lock()
-	p.flushing = false
-	news := p.pending
-	p.pending = peering.Message{}
-	empty := len(news.Begun)+len(news.First)+len(news.Ended) == 0
-	targets := p.group.Alive(time.Now())
-	p.mu.Unlock()
-	if empty {
-		return // a begin took it along
-	}
-	for len(news.Begun) > maxDispatches {
-		p.send(targets, peering.Message{Begun: news.Begun[:maxDispatches]})
-		news.Begun = news.Begun[maxDispatches:]
-	}
-	p.send(targets, news)
-}
-
-func (p *peerExchange) send(targets []string, m peering.Message) {
-	m.From, m.Incarnation = p.s.settings.PeerAddress, p.s.incarnation
+	m.From, m.Zone, m.Incarnation = p.s.settings.PeerAddress, p.s.settings.Zone, p.s.incarnation
 	m.Version, m.Revision = p.s.versions()
 	m.Stopping = p.s.stopping.Load() != nil
 	m.Starting = p.s.manager.State() == lifecycle.Starting
@@ -165,7 +119,7 @@
 		return
 	}
 	for _, target := range targets {
-		address, err := net.ResolveUDPAddr("udp", target)
+		address, err := p.resolve(target)
 		if err != nil {
 			p.s.log.WithError(err).WithField("peer", target).Warn("a peer's address can't be read")
 			continue
@@ -178,6 +132,22 @@
 	}
 }
 
+// resolve returns a peer's address as the socket takes it. It is read once: each request
+// is told to all near entries three times.
+func (p *peerExchange) resolve(target string) (net.Addr, error) {
+	p.addressesMu.Lock()
+	defer p.addressesMu.Unlock()
+	if address, ok := p.addresses[target]; ok {
+		return address, nil
+	}
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return nil, err
+	}
+	p.addresses[target] = address
+	return address, nil
+}
+
 func (p *peerExchange) heartbeats(t *tomb.Tomb) error {
 	ticker := time.NewTicker(peering.HeartbeatInterval)
 	defer ticker.Stop()
@@ -185,13 +155,14 @@
 		now := time.Now()
 		p.mu.Lock()
 		p.group.Forget(now)
-		told, rest := p.group.TellOf(turn)
-		known := p.group.Alive(now)
+		beat := p.group.Heartbeat(now, turn)
+		running, neighbours := p.group.Running(now), p.group.Neighbours(now)
 		silent, _ := p.group.Silent(now)
 		p.mu.Unlock()
 		p.noteSilent(silent)
-		p.send(told, peering.Message{Known: known})
-		p.send(rest, peering.Message{})
+		p.send(beat.Lists, peering.Message{Members: running})
+		p.send(beat.Rest, peering.Message{})
+		p.send(beat.Far, peering.Message{Members: neighbours})
 		p.catchUp(now)
 		select {
 		case <-ticker.C:
@@ -246,50 +217,6 @@
 	}
 }
 
-// takeNews books what another entry tells of. A restarted entry has lost all that it
-// had begun.
-func (s *Server) takeNews(now time.Time, m peering.Message, restarted bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if restarted {
-		s.book.EndFrom(now, m.From)
-	}
-	for _, d := range m.Begun {
-		if engine, ok := s.engineOf(d.Server); ok {
-			s.book.BeginFrom(now, m.From, d, engine)
-		}
-	}
-	for _, id := range m.First {
-		s.book.FirstEvent(now, id)
-	}
-	for _, id := range m.Ended {
-		s.book.End(now, id)
-	}
-}
-
-// tellKnown tells an entry of all others.
-func (p *peerExchange) tellKnown(now time.Time, target string) {
-	p.mu.Lock()
-	known := p.group.Alive(now)
-	p.mu.Unlock()
-	p.send([]string{target}, peering.Message{Known: known})
-}
-
-// tellOpen tells an entry that has started or was cut off of all that is under way
-// here. It would send prompts to servers that are full until those have ended.
-func (p *peerExchange) tellOpen(now time.Time, target string) {
-	p.s.mu.Lock()
-	begun, first := p.s.book.Open(now)
-	p.s.mu.Unlock()
-	targets := []string{target}
-	for part := range slices.Chunk(begun, maxDispatches) {
-		p.send(targets, peering.Message{Begun: part})
-	}
-	if len(first) > 0 {
-		p.send(targets, peering.Message{First: first})
-	}
-}
-
 // unheard returns the servers that entries use of which nothing is heard; nil if all
 // entries are heard.
 func (p *peerExchange) unheard(now time.Time, servers []directory.Server) map[string]bool {
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -205,6 +205,7 @@
 			break
 		}
 	}
+	s.divide()
 	s.log.WithFields(logrus.Fields{"from": from, "version": table.Version(), "source": source, "routes": len(definition.Routes),
 		"services": len(definition.Services), "workspaces": len(definition.Workspaces)}).Info("configuration in force")
 	s.audit(audit.Event{Area: audit.Configuration, Subject: "configuration", Why: "adopted", Source: source, Revision: table.Version()})
@@ -217,6 +218,7 @@
 	s.mu.Lock()
 	s.book.Retain(s.directory.IsCurrent)
 	s.mu.Unlock()
+	s.divide()
 	for _, change := range changes {
 		s.log.WithFields(logrus.Fields{"server": change.Server, "service": change.Service, "from": change.From, "to": change.To,
 			"why": change.Why, "revision": change.Revision, "source": source}).Info("server changed")
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/placement"
+	"arbutusdeck/core/routes"
 )
 
 // run tries servers until the request is over.
@@ -86,7 +88,7 @@
 
 // query asks for a server other than those excluded; the caller holds the lock.
 func (e *exchange) query(now time.Time, excluded []string) placement.Query {
-	servers := e.s.directory.Available(e.service.Name)
+	servers := e.s.serversFor(e.service)
 	return placement.Query{Engine: e.service.Engine, Exclude: excluded, PromptTokens: e.info.PromptTokens,
 		AnswerTokens: e.answerTokens(), Gap: e.route.EventGap, Tie: e.draw,
 		Target: max(e.route.Target-now.Sub(e.arrived), time.Millisecond), Remaining: e.deadline.Sub(now) - answerMargin,
@@ -94,6 +96,17 @@
 		Servers:   servers, Avoid: e.s.peers.unheard(now, servers)}
 }
 
+// serversFor returns the servers of a service that this entry chooses among; the caller
+// holds the lock.
+func (s *Server) serversFor(service *routes.Service) []directory.Server {
+	if service.Engine != nil && s.isDivided(service.Name) {
+		if own := s.directory.AvailableIn(service.Name, s.settings.Zone); len(own) > 0 {
+			return own
+		}
+	}
+	return s.directory.Available(service.Name)
+}
+
 // answerTokens is the expected length of the answer.
 func (e *exchange) answerTokens() int64 {
 	if e.info.AnswerHint > 0 && e.info.AnswerHint < e.info.MaxAnswerTokens {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -24,6 +24,7 @@
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/membership"
 	"arbutusdeck/core/netopts"
+	"arbutusdeck/core/parts"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
@@ -69,6 +70,9 @@
 	storeFine time.Time // the last success of a call to the store
 	storeLost time.Time // the first failure since then, zero if none
 	book      *placement.Book
+	// divisions tell for each engine service whether entries keep to their zone's servers.
+	divisions map[string]*parts.Division
+	divided   map[string]bool
 	budgets   map[string]*execution.RetryBudget
 	random    *rand.Rand
 	pause     *membership.PauseDetector
@@ -106,6 +110,7 @@
 	s := &Server{
 		options: options, settings: settings, loaded: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), book: placement.NewBook(placement.DefaultOptions(settings.Zone)),
+		divisions: map[string]*parts.Division{}, divided: map[string]bool{},
 		budgets: map[string]*execution.RetryBudget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pause: membership.NewPauseDetector(pauseLimit),
 	}
@@ -115,7 +120,7 @@
 	s.transport = newTransport()
 	s.orders = &http.Client{Transport: newTransport()}
 	s.store = platform.NewStore(settings.Store, storeClient(), storeTimeout)
-	s.peers = newPeerExchange(s, peering.New(settings.PeerAddress, s.incarnation, settings.Seeds))
+	s.peers = newPeerExchange(s, peering.New(settings.PeerAddress, settings.Zone, s.incarnation, settings.Seeds))
 	return s
 }
 
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -21,6 +21,7 @@
 type progress struct {
 	reservation *reservation
 	stall       *stallWatch
+	booked      booking
 }
 
 // first notes that the first event has come.
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -83,7 +83,7 @@
 		if first {
 			first = false
 			progress.first()
-			e.s.bookFirst(progress.reservation.id)
+			e.s.bookFirst(progress.booked)
 		}
 		e.beginStream(response)
 		if err := e.passEvent(controller, ev); err != nil {
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -73,15 +73,15 @@
 	reservation.watch(cancel)
 	stall := e.watchStall(sending, choice, cancel)
 	defer stall.end()
-	e.s.bookBegin(dispatch, e.service.Engine, choice.Predicted)
-	defer e.s.bookEnd(dispatch.ID)
+	booked := e.s.bookBegin(dispatch, choice, e.service.Engine)
+	defer e.s.bookEnd(booked)
 	request := e.upstream(sending, choice, reservation)
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
 		return e.noAnswer(ctx, server.Start(), err)
 	}
 	defer response.Body.Close()
-	return e.readAnswer(ctx, choice, &progress{reservation, stall}, response)
+	return e.readAnswer(ctx, choice, &progress{reservation, stall, booked}, response)
 }
 
 // waitReleased waits until the memory of a failed try is free again. The next try may need
