--- a/proof/forwarding/day.go
+++ b/proof/forwarding/day.go
@@ -54,6 +54,7 @@
 	outcome  *Outcome
 	entry    int
 	prompt   int64
+	size     size
 	answer   int64
 	hint     int64
 	arrived  float64
@@ -126,6 +127,23 @@
 	return d.result
 }
 
+// partOf returns the part of an entry or engine.
+func (d *day) partOf(index int) int { return index % max(d.site.Parts, 1) }
+
+// listedFor returns the engines that an entry chooses among.
+func (d *day) listedFor(entry int) []directory.Server {
+	if d.site.Parts <= 1 {
+		return d.listed
+	}
+	var own []directory.Server
+	for i, server := range d.listed {
+		if d.partOf(i) == d.partOf(entry) {
+			own = append(own, server)
+		}
+	}
+	return own
+}
+
 func names(count int, name func(int) string) []string {
 	all := make([]string, count)
 	for i := range all {
@@ -175,7 +193,8 @@
 	r.hint = int64(lognormal(d.random, float64(r.answer), d.site.HintSpread, 10*float64(r.answer)))
 	out.Asked++
 	full, _ := c.worth(float64(r.prompt))
-	d.result.owe(r.arrived, out, full)
+	r.size = c.sizeOf(float64(r.prompt))
+	d.result.owe(r, full)
 	d.at(d.now+float64(c.Deadline.Milliseconds()), func() { d.leave(r) })
 	d.live, d.all = append(d.live, r), append(d.all, r)
 	d.watch(r)
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -68,6 +68,10 @@
 	o.LateGap += c.LateGap
 	o.Owed += c.Owed
 	o.Earned += c.Earned
+	for i, s := range c.Sizes {
+		o.Sizes[i].Owed += s.Owed
+		o.Sizes[i].Earned += s.Earned
+	}
 	o.FirstMs = append(o.FirstMs, c.FirstMs...)
 	o.Longest = append(o.Longest, c.Longest...)
 }
--- a/proof/forwarding/request.go
+++ b/proof/forwarding/request.go
@@ -35,7 +35,7 @@
 	}
 	book := d.entries[r.entry]
 	waited := enginemodel.Millis(d.now - r.arrived)
-	query := placement.Query{Servers: d.listed, Avoid: d.avoided(r.entry), Engine: &d.site.Engine, Exclude: r.excluded, PromptTokens: r.prompt, AnswerTokens: r.hint,
+	query := placement.Query{Servers: d.listedFor(r.entry), Avoid: d.avoided(r.entry), Engine: &d.site.Engine, Exclude: r.excluded, PromptTokens: r.prompt, AnswerTokens: r.hint,
 		Target: max(r.class.Target-waited, time.Millisecond), Gap: r.class.Gap, Remaining: r.class.Deadline - waited, Tie: d.ties.Float64()}
 	choice, refusal := book.Choose(d.clock(), query)
 	if refusal != "" {
@@ -138,8 +138,8 @@
 	})
 }
 
-// everywhere does something at an entry now and at the others when the news has
-// reached them. News to or from an entry that is cut off are lost.
+// everywhere does something at an entry now and at the others of its part when the news
+// has reached them. News to or from an entry that is cut off are lost.
 func (d *day) everywhere(entry int, do func(b *placement.Book, own bool)) {
 	do(d.entries[entry], true)
 	sent := enginemodel.Millis(d.now)
@@ -148,7 +148,7 @@
 	}
 	d.at(d.now+float64(d.site.News)/float64(time.Millisecond), func() {
 		for i, b := range d.entries {
-			if i != entry && !d.away[i] && !d.site.cutOff(i, sent) {
+			if i != entry && !d.away[i] && !d.site.cutOff(i, sent) && d.partOf(i) == d.partOf(entry) {
 				do(b, false)
 			}
 		}
@@ -257,14 +257,14 @@
 	case r.firstMs > float64(r.class.Target.Milliseconds()):
 		r.outcome.Late++
 		r.outcome.LateFirst++
-		d.result.earn(r.arrived, r.outcome, late)
+		d.result.earn(r, late)
 	case r.longest > float64(r.class.Gap.Milliseconds()):
 		r.outcome.Late++
 		r.outcome.LateGap++
-		d.result.earn(r.arrived, r.outcome, late)
+		d.result.earn(r, late)
 	default:
 		r.outcome.InTime++
-		d.result.earn(r.arrived, r.outcome, full)
+		d.result.earn(r, full)
 	}
 }
 
--- a/proof/forwarding/result.go
+++ b/proof/forwarding/result.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Outcome is what a class's callers got.
 type Outcome struct {
@@ -8,10 +11,40 @@
 	// LateFirst and LateGap divide the late ones by what was late first.
 	LateFirst, LateGap int
 	Owed, Earned       float64
+	// Sizes divides what was owed and earned by the lengths of prompts.
+	Sizes [sizes]Window
 	// FirstMs is the times to the first event, Longest the longest pauses.
 	FirstMs, Longest []float64
 }
 
+// size is the place of a prompt's length within its class.
+type size int
+
+const (
+	usualSize   size = iota
+	largeSize        // the fifth below the largest tenth
+	largestSize      // the largest tenth
+	sizes
+)
+
+// Quantiles of the normal distribution above which a tenth and three tenths lie.
+const (
+	largestQuantile = 1.2816
+	largeQuantile   = 0.5244
+)
+
+// sizeOf returns the place of a prompt's length within its class.
+func (c *Class) sizeOf(prompt float64) size {
+	above := (math.Log(prompt/c.Prompt) + c.PromptSpread*c.PromptSpread/2) / c.PromptSpread
+	switch {
+	case above > largestQuantile:
+		return largestSize
+	case above > largeQuantile:
+		return largeSize
+	}
+	return usualSize
+}
+
 // Window is what the requests of a short span of a day owed and earned.
 type Window struct{ Owed, Earned float64 }
 
@@ -46,7 +79,8 @@
 )
 
 // Score weighs the worth of the whole day with that of its two worst windows and of its
-// worst class, about as the users do.
+// worst class, about as the users do. The largest prompts of a class and the large ones
+// count as classes by themselves.
 func (r *Result) Score() float64 {
 	var windows []float64
 	for _, w := range r.Windows {
@@ -62,19 +96,24 @@
 	class := 1.0
 	for _, c := range r.Classes {
 		class = min(class, c.Earned/max(c.Owed, 1e-9))
+		for _, s := range c.Sizes[largeSize:] {
+			class = min(class, s.Earned/max(s.Owed, 1e-9))
+		}
 	}
 	return weightWhole*r.Worth() + weightWorst*sum + weightWorst*class
 }
 
 // earn books what a request earned.
-func (r *Result) earn(at float64, outcome *Outcome, worth float64) {
-	outcome.Earned += worth
-	r.window(at).Earned += worth
+func (r *Result) earn(q *request, worth float64) {
+	q.outcome.Earned += worth
+	q.outcome.Sizes[q.size].Earned += worth
+	r.window(q.arrived).Earned += worth
 }
 
-func (r *Result) owe(at float64, outcome *Outcome, worth float64) {
-	outcome.Owed += worth
-	r.window(at).Owed += worth
+func (r *Result) owe(q *request, worth float64) {
+	q.outcome.Owed += worth
+	q.outcome.Sizes[q.size].Owed += worth
+	r.window(q.arrived).Owed += worth
 }
 
 func (r *Result) window(at float64) *Window {
--- a/proof/forwarding/site.go
+++ b/proof/forwarding/site.go
@@ -61,6 +61,9 @@
 	// Outages and Spells are the troubles of the day.
 	Outages []Outage
 	Spells  []Spell
+	// Parts divides entries and engines into so many parts, 0 for none. Entries choose and
+	// tell of requests within their part.
+	Parts int
 	// NoSlices lets entries that don't hear each other use the same servers.
 	NoSlices bool
 	// HintSpread is the sigma of the logarithm of the callers' estimates of the
@@ -115,6 +118,29 @@
 	return site
 }
 
+// ZagaraLarge returns a part of the press's large deployment: as many engines and entries
+// with a share of its traffic, from one zone (27 of 135 engines) to all of it. Entries choose
+// among the part's engines only.
+func ZagaraLarge(load float64, engines int) Site {
+	site := Zagara(load)
+	part := float64(engines) / largeEngines
+	site.Engine.Slots, site.Engine.Stride = 10, 80
+	site.Engines, site.Entries, site.Zones = engines, int(math.Round(largeEntries*part)), 1
+	short, middle, long := &site.Classes[0], &site.Classes[1], &site.Classes[2]
+	short.PerSecond, middle.PerSecond, long.PerSecond = 186*part, 13.7*part, 4.53*part
+	short.Events, short.EventMax, middle.Events, middle.EventMax, long.Events, long.EventMax = 23.5, 58.8, 14.1, 35.3, 11.8, 29.4
+	short.Target, short.Gap, middle.Gap = 400*time.Millisecond, 300*time.Millisecond, 800*time.Millisecond
+	middle.Worth, middle.LateWorth = 3.1, 0.78
+	long.Prompt, long.Target, long.Gap, long.Worth, long.LateWorth = 220_000, 4*time.Second, 1200*time.Millisecond, 26, 6.5
+	return site
+}
+
+// The size of the press's large deployment.
+const (
+	largeEngines = 135
+	largeEntries = 68
+)
+
 // Sanad returns the shops' deployment, at a load: the press's engines, more of them, few
 // entries, and more traffic.
 func Sanad(load float64) Site {
--- a/proof/forwarding/tuning_test.go
+++ b/proof/forwarding/tuning_test.go
@@ -32,6 +32,32 @@
 var hardDays = []namedDay{{"sanad", Sanad(1), 16}, {"killed", Restarted(Sanad(1), 24*time.Second, false), 16}, {"power", Restarted(Sanad(1), 14*time.Second, true), 16},
 	{"spells", withSpells(Sanad(1)), 16}, {"grown", Restarted(SanadGrown(1), 24*time.Second, false), 3}}
 
+// largeDays are days of a zone of the large deployment: usual, heavier, and with a restart of
+// all entries beside mostly short prompts.
+var largeDays = []namedDay{{"large 0.8", ZagaraLarge(0.8, 27), 12}, {"large 1", ZagaraLarge(1, 27), 12}, {"large 1.1", ZagaraLarge(1.1, 27), 12},
+	{"large power", Restarted(ZagaraLarge(1, 27), 14*time.Second, true), 12}}
+
+// BenchmarkLarge plays variants of the options on days of a zone of the large deployment.
+func BenchmarkLarge(b *testing.B) {
+	variants(b, func(name string, options placement.Options) {
+		mean, line := playNamed(largeDays, options, (*Result).Score)
+		fmt.Fprintf(os.Stderr, "large %-40s mean %.4f%s\n", name, mean, line)
+	})
+}
+
+// BenchmarkParts plays the large deployment in parts of different sizes.
+func BenchmarkParts(b *testing.B) {
+	options := placement.DefaultOptions("")
+	whole := ZagaraLarge(1, largeEngines)
+	whole.Parts = 5
+	mean, line := playNamed([]namedDay{{"1", whole, 4}}, options, (*Result).Score)
+	fmt.Fprintf(os.Stderr, "parts five in one day: mean %.4f%s\n", mean, line)
+	for _, engines := range []int{14, 27, 54, 135} {
+		mean, line := playNamed([]namedDay{{"1", ZagaraLarge(1, engines), max(2, 270/engines)}}, options, (*Result).Score)
+		fmt.Fprintf(os.Stderr, "parts of %3d engines: mean %.4f%s\n", engines, mean, line)
+	}
+}
+
 func withSpells(site Site) Site {
 	site.Spells = []Spell{{From: 5 * time.Second, For: 5 * time.Second, Engines: 4, Slow: 4}, {From: 15 * time.Second, For: 4 * time.Second, Engines: 4}}
 	return site
@@ -83,11 +109,17 @@
 		line += fmt.Sprintf("  %s: %.4f of %.3f", c.name, measure(total), total.Limit)
 		for _, c := range total.Classes {
 			line += fmt.Sprintf(" %.3f", c.Earned/c.Owed)
+			if c.Sizes[largestSize].Earned < largestNamed*c.Sizes[largestSize].Owed {
+				line += fmt.Sprintf(" (largest %.3f, large %.3f)", c.Sizes[largestSize].Earned/c.Sizes[largestSize].Owed, c.Sizes[largeSize].Earned/c.Sizes[largeSize].Owed)
+			}
 		}
 	}
 	return mean, line
 }
 
+// largestNamed is the worth of the largest prompts of a class below which a line tells it.
+const largestNamed = 0.8
+
 // variants are the options that ARBUTUS_TUNING names, as in
 // "PackGain=0.01;PackGain=0.02,PackShare=0.5", after the defaults.
 func variants(b *testing.B, do func(name string, options placement.Options)) {
