--- a/core/parts/division_test.go
+++ b/core/parts/division_test.go
@@ -31,3 +31,12 @@
 	require.False(t, d.Update(map[string]int{"a": 23, "b": 27}), "undivided, it takes more to divide again")
 	require.True(t, d.Update(map[string]int{"a": 24, "b": 27}))
 }
+
+// All zones are full at the same time: a request that went to another one would only take
+// the place of that one's own.
+func TestRequestsCrossOnlyToAZoneWithMoreRoom(t *testing.T) {
+	require.True(t, Crosses(0, 0.25))
+	require.True(t, Crosses(0.5, 0.9))
+	require.False(t, Crosses(0.5, 0.7))
+	require.False(t, Crosses(0, 0.2))
+}
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -47,6 +47,7 @@
 	// serving is since when it is heard to take requests; zero while it does not.
 	serving  time.Time
 	capacity int
+	room     int // as in Message
 	store    StoreState
 	// untold says that it has missed news and was not told of them yet.
 	untold bool
@@ -150,6 +151,9 @@
 	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
 	known.version, known.revision = m.Version, m.Revision
 	known.capacity, known.store = m.Capacity, m.store()
+	if m.Room > 0 {
+		known.room = m.Room
+	}
 	sender.Found = g.learn(now, m)
 	return sender
 }
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -38,10 +38,39 @@
 	StoreLost bool  `cbor:"15,keyasint,omitempty"`
 	// Update is what has changed in the list of servers.
 	Update *Update `cbor:"16,keyasint,omitempty"`
+	// Room is the share, in hundredths plus one, of the servers of the sender's zone that
+	// could begin a short prompt at once; 0 if it isn't told.
+	Room int `cbor:"17,keyasint,omitempty"`
+	// Ask and Place are a question to another zone and its answer.
+	Ask   *Ask   `cbor:"18,keyasint,omitempty"`
+	Place *Place `cbor:"19,keyasint,omitempty"`
 	// Members are the entries that the sender takes for running, by zone.
 	Members []ZoneMembers `cbor:"12,keyasint,omitempty"`
 }
 
+// Ask asks an entry of another zone to place a request among that zone's servers.
+type Ask struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+	// Dispatch is the request without its servers.
+	Dispatch placement.Dispatch `cbor:"2,keyasint,omitempty"`
+	// Remaining is the time that the request has left.
+	Remaining time.Duration `cbor:"3,keyasint,omitempty"`
+	Exclude   []string      `cbor:"4,keyasint,omitempty"`
+}
+
+// Place answers an Ask: the servers by the names of their starts; Server is empty if there
+// is no place.
+type Place struct {
+	ID        string        `cbor:"1,keyasint,omitempty"`
+	Server    string        `cbor:"2,keyasint,omitempty"`
+	Helpers   []string      `cbor:"3,keyasint,omitempty"`
+	Held      []int64       `cbor:"4,keyasint,omitempty"`
+	Predicted time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// SetRoom tells the room in the sender's zone, as a share.
+func (m *Message) SetRoom(room float64) { m.Room = 1 + int(room*100) }
+
 // Update are the changes of the list of servers from one revision of the platform to a
 // later one.
 type Update struct {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -50,6 +50,8 @@
 	Known Known
 	// Wait asks to choose again after this time in place of sending now.
 	Wait time.Duration
+	// Unreachable says that no connection to Server could be made lately.
+	Unreachable bool
 	// others is the part of Loss that other requests bear.
 	others float64
 	// crowding is what the read is expected to cost the requests that come next.
@@ -255,7 +257,8 @@
 	if !ok {
 		return Choice{}, false
 	}
-	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Held: held, others: others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
+	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Unreachable: now.Before(chosen[0].state.trust.until), Held: held,
+		others: others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
 	slowest := 0.0
 	for _, c := range chosen {
 		slowest = max(slowest, b.firstEventMs(c, q, readMs))
--- /dev/null
+++ b/core/placement/room.go
@@ -0,0 +1,26 @@
+package placement
+
+import (
+	"time"
+
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/enginemodel"
+)
+
+// Room is the share of servers that could begin a short prompt at once: they can be
+// reached, have a slot free, and have less to read than makes next requests avoid them.
+func (b *Book) Room(now time.Time, servers []directory.Server, engine *enginemodel.Engine) float64 {
+	if len(servers) == 0 || engine == nil {
+		return 0
+	}
+	count := 0
+	for _, listed := range servers {
+		s := b.server(listed.Start(), engine)
+		s.advance(now)
+		free := float64(s.requests()) < b.options.PackShare*float64(engine.Slots)
+		if free && !now.Before(s.trust.until) && s.backlogMs()+s.stall(now).Seconds()*msPerSecond < busyMs {
+			count++
+		}
+	}
+	return float64(count) / float64(len(servers))
+}
--- /dev/null
+++ b/entry/gateway/crossing.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/parts"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+)
+
+// Entries that keep to their zone's servers know nothing of what other zones' servers do.
+// Where the own zone has no room (its servers are down, or far fewer than its callers
+// need), an entry of a zone with more room is asked to place the request: it knows its
+// servers exactly. Otherwise callers would be refused while most servers are idle.
+
+const (
+	// askTimeout bounds the wait for an answer: some ten ways there and back between zones.
+	askTimeout = 40 * time.Millisecond
+	// askPause lies between two questions for one request.
+	askPause = 500 * time.Millisecond
+)
+
+// asked is a question to another zone that waits for its answer.
+type asked chan peering.Place
+
+// place finds a server for the request, in this zone or in one with more room.
+func (e *exchange) place(ctx context.Context, now time.Time) (placement.Choice, placement.Refusal) {
+	choice, refusal := e.choose(now)
+	if !e.mayCross(now, choice, refusal) {
+		return choice, refusal
+	}
+	e.askedAt = now
+	if address, ok := e.s.roomElsewhere(now, e.service.Name); ok {
+		if far, ok := e.ask(ctx, address); ok {
+			return far, ""
+		}
+	}
+	if refusal == placement.NoServer {
+		// Nobody can be asked, and a server whose work is not known is better than none.
+		return e.chooseAnywhere(now)
+	}
+	return choice, refusal
+}
+
+// mayCross says whether the own zone has no good place for the request.
+func (e *exchange) mayCross(now time.Time, choice placement.Choice, refusal placement.Refusal) bool {
+	if e.service.Engine == nil || now.Sub(e.askedAt) < askPause {
+		return false
+	}
+	return refusal != "" || choice.Unreachable || choice.Predicted > e.route.Target-now.Sub(e.arrived)
+}
+
+// roomElsewhere returns an entry of another zone that has clearly more room than this one.
+func (s *Server) roomElsewhere(now time.Time, service string) (string, bool) {
+	s.mu.Lock()
+	divided, own := s.isDivided(service), s.room(now, service)
+	s.mu.Unlock()
+	if !divided {
+		return "", false
+	}
+	s.peers.mu.Lock()
+	address, other, ok := s.peers.group.Roomiest(now)
+	s.peers.mu.Unlock()
+	return address, ok && parts.Crosses(own, other)
+}
+
+// room is the share of this zone's servers of a service that could begin a short prompt; the
+// caller holds the lock.
+func (s *Server) room(now time.Time, service string) float64 {
+	engine := s.engineOfService(service)
+	return s.book.Room(now, s.directory.AvailableIn(service, s.settings.Zone), engine)
+}
+
+func (s *Server) engineOfService(name string) *enginemodel.Engine {
+	table := s.table.Load()
+	if table == nil {
+		return nil
+	}
+	service := table.Service(name)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+// tellRoom is the room that heartbeats to other zones tell: that of the engine service with
+// the least.
+func (s *Server) tellRoom(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := 1.0
+	for service, divided := range s.divided {
+		if divided {
+			least = min(least, s.room(now, service))
+		}
+	}
+	return least
+}
+
+// ask asks an entry of another zone for a place.
+func (e *exchange) ask(ctx context.Context, address string) (placement.Choice, bool) {
+	now := time.Now()
+	dispatch := e.dispatch(placement.Choice{})
+	answer := e.s.peers.askFor(ctx, address, peering.Ask{Service: e.service.Name, Dispatch: dispatch, Remaining: e.deadline.Sub(now) - answerMargin,
+		Exclude: e.core.Excluded()})
+	if answer.Server == "" {
+		return placement.Choice{}, false
+	}
+	choice, ok := e.s.choiceOf(answer)
+	if !ok {
+		e.s.peers.send([]string{address}, peering.Message{Ended: []string{dispatch.ID}})
+		return placement.Choice{}, false
+	}
+	e.s.counters.crossed.Inc(1)
+	e.placed = dispatch.ID
+	return choice, true
+}
+
+// askFor sends a question and waits for its answer. A place that is not heard of in time is
+// given back: the one asked has it in its book.
+func (p *peerExchange) askFor(ctx context.Context, address string, question peering.Ask) peering.Place {
+	answer := make(asked, 1)
+	id := question.Dispatch.ID
+	p.mu.Lock()
+	p.asked[id] = answer
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.asked, id)
+		p.mu.Unlock()
+	}()
+	p.send([]string{address}, peering.Message{Ask: &question})
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case place := <-answer:
+		return place
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.send([]string{address}, peering.Message{Ended: []string{id}})
+	return peering.Place{}
+}
+
+// takePlace hands an answer to the request that waits for it.
+func (p *peerExchange) takePlace(place peering.Place) {
+	p.mu.Lock()
+	answer := p.asked[place.ID]
+	delete(p.asked, place.ID)
+	p.mu.Unlock()
+	if answer != nil {
+		answer <- place
+	}
+}
+
+// choiceOf turns an answer into a choice; false if one of its servers is not known here.
+func (s *Server) choiceOf(place peering.Place) (placement.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	choice := placement.Choice{Held: place.Held, Predicted: place.Predicted}
+	var found []directory.Server
+	for _, start := range append([]string{place.Server}, place.Helpers...) {
+		server, ok := s.directory.Lookup(start)
+		if !ok || server.Start() != start {
+			return placement.Choice{}, false
+		}
+		found = append(found, server)
+	}
+	choice.Server, choice.Helpers = found[0], found[1:]
+	return choice, true
+}
+
+// answerAsk places another zone's request among this zone's servers, and books it, so that
+// the next question doesn't get the same place.
+func (s *Server) answerAsk(now time.Time, from string, ask peering.Ask) {
+	place := peering.Place{ID: ask.Dispatch.ID}
+	d := ask.Dispatch
+	s.mu.Lock()
+	engine := s.engineOfService(ask.Service)
+	if engine != nil && s.isDivided(ask.Service) {
+		query := placement.Query{Engine: engine, Exclude: ask.Exclude, PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens, Gap: d.Gap,
+			Tie: s.random.Float64(), Target: d.Target, Remaining: ask.Remaining, HoldLimit: unusedLimit(s.settings.ReservationIdle.D()),
+			Servers: s.directory.AvailableIn(ask.Service, s.settings.Zone)}
+		choice, refusal := s.book.Choose(now, query)
+		if refusal == "" && choice.Wait == 0 {
+			place.Server, place.Helpers, place.Held, place.Predicted = choice.Server.Start(), directory.Starts(choice.Helpers), choice.Held, choice.Predicted
+			d.Server, d.Helpers, d.Held = place.Server, place.Helpers, place.Held
+			s.book.BeginFrom(now, from, d, engine)
+		}
+	}
+	s.mu.Unlock()
+	s.peers.send([]string{from}, peering.Message{Place: &place})
+}
+
+// takePlaced returns the identifier of the try that another zone has placed, once.
+func (e *exchange) takePlaced(choice placement.Choice) string {
+	id := e.placed
+	if choice.Server.ID == "" || id == "" {
+		return e.s.dispatchID()
+	}
+	e.placed = ""
+	return id
+}
--- /dev/null
+++ b/entry/gateway/crossing_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/platform/standin"
+)
+
+// serversOfAZone is how many servers make a zone a part by itself.
+const serversOfAZone = 24
+
+// zonesOfServers adds enough engine servers in each zone that entries keep to their own.
+func (w *world) zonesOfServers(zones ...string) {
+	events := func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) }
+	for _, zone := range zones {
+		for i := range serversOfAZone {
+			worker := standin.NewWorker(fmt.Sprintf("%s-%02d", zone, i), "engines")
+			worker.Script = events
+			w.t.Cleanup(worker.Close)
+			key, row := worker.Row("ready")
+			row["Zone"] = zone
+			w.store.Put(key, row)
+			w.workers = append(w.workers, worker)
+		}
+	}
+}
+
+// twoZones starts an entry in each of two zones that know each other.
+func (w *world) twoZones() (here, there *Server) {
+	here = w.serve()
+	settings := w.settings(here.settings.PeerAddress)
+	settings.Zone = "there"
+	there = w.start(settings)
+	w.eventually("the other zone's entry serves", func() bool { return there.manager.State() == lifecycle.Serving && w.known(there) })
+	w.eventually("the servers are divided", func() bool {
+		there.peers.mu.Lock()
+		defer there.peers.mu.Unlock()
+		return there.peers.group.Divided() && len(there.peers.group.In(time.Now(), "here")) == 1
+	})
+	return here, there
+}
+
+// runsIn counts the requests that ran in a zone.
+func (w *world) runsIn(zone string) int {
+	count := 0
+	for _, worker := range w.workers {
+		if worker.ID[:len(zone)] == zone {
+			count += len(worker.Runs())
+		}
+	}
+	return count
+}
+
+// losesServers makes an entry believe that no server of its zone can be reached.
+func losesServers(s *Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.directory.AvailableIn("engines", s.settings.Zone) {
+		for range 4 {
+			s.book.Unreachable(time.Now(), server.Start())
+		}
+	}
+}
+
+// An entry would know nothing of what other entries send to the servers of another zone: it
+// keeps to its own, also while these have something to do.
+func TestEntriesKeepToTheServersOfTheirZone(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	busy := peering.Message{From: "127.0.0.1:1", Incarnation: "x"}
+	for _, server := range w.available(here, "engines") {
+		if server.Zone == "here" {
+			busy.Begun = append(busy.Begun, placement.Dispatch{ID: server.ID, Server: server.Start(), PromptTokens: 8000, Life: time.Minute})
+		}
+	}
+	here.takeNews(time.Now(), busy, false)
+	for range 5 {
+		require.Equal(t, 200, w.call(here, http.MethodPost, "/stream/", 2000, "x").status)
+	}
+	require.Equal(t, 5, w.runsIn("here"))
+	require.True(t, there.booked(0)(), "entries of other zones are not told")
+}
+
+// All servers of a zone are down. Its callers would be refused while the other zone's servers
+// are idle. An entry there is asked, places the requests among servers that it knows, and has
+// them in its book as long as they last.
+func TestAZoneWithoutServersUsesAnotherOne(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	release := make(chan struct{})
+	for _, worker := range w.workers[serversOfAZone:] {
+		worker.Script = func(out http.ResponseWriter, r *http.Request) {
+			<-release
+			standin.Events(out, r, 1, 0)
+		}
+	}
+	losesServers(here)
+	w.eventually("the other zone's room is heard", func() bool {
+		_, ok := here.roomElsewhere(time.Now(), "engines")
+		return ok
+	})
+	losesServers(here)
+	const requests = 4
+	done := make(chan reply, requests)
+	for range requests {
+		go func() { done <- w.call(here, http.MethodPost, "/stream/", 2000, "x") }()
+	}
+	w.eventually("the other zone's entry has them in its book", there.booked(requests))
+	close(release)
+	for range requests {
+		require.Equal(t, 200, (<-done).status)
+	}
+	require.Equal(t, requests, w.runsIn("there"))
+	require.EqualValues(t, requests, here.counters.crossed.Count())
+	w.eventually("and knows that they are over", there.booked(0))
+}
+
+// The entry that was asked answers too late, or its answer is lost. What it has booked is
+// given back, or it would keep a server from its own callers until the request's time is over.
+func TestAPlaceThatIsNotHeardOfIsGivenBack(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	ask := peering.Ask{Service: "engines", Remaining: 10 * time.Second,
+		Dispatch: placement.Dispatch{ID: "late", PromptTokens: 2000, AnswerTokens: 500, Gap: time.Second, Target: time.Second, Life: time.Minute}}
+	there.answerAsk(time.Now(), here.settings.PeerAddress, ask)
+	require.True(t, there.booked(1)())
+	ask.Dispatch.ID = "lost"
+	require.Empty(t, here.peers.askFor(t.Context(), "127.0.0.1:1", ask).Server, "nobody is there")
+	there.takeNews(time.Now(), peering.Message{From: here.settings.PeerAddress, Ended: []string{"late"}}, false)
+	require.True(t, there.booked(0)())
+}
+
+// Nobody of another zone can be asked. A server there whose work is not known is better than
+// a refusal.
+func TestWithoutServersAndNeighboursAnyServerServes(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there", "yonder")
+	here := w.serve()
+	for _, worker := range w.workers[:serversOfAZone] {
+		key, _ := worker.Row("")
+		w.store.Remove(key)
+	}
+	w.eventually("the zone's servers are gone", func() bool { return len(w.available(here, "engines")) == 2*serversOfAZone })
+	require.Equal(t, 200, w.call(here, http.MethodPost, "/stream/", 2000, "x").status)
+	require.Zero(t, w.runsIn("here"))
+}
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -45,6 +45,10 @@
 	// paid says that the budget was charged for the next try before this one was
 	// broken off.
 	paid atomic.Bool
+	// askedAt is when another zone was asked for a place last; placed is the identifier of the
+	// try for which it gave one.
+	askedAt time.Time
+	placed  string
 	// failure is the newest whole answer of a server that tells of a failure.
 	failure *heldAnswer
 	// begun says that the answer's headers have gone out.
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -49,6 +49,8 @@
 	fetching bool
 	// behind says that a look at what others know is due.
 	behind bool
+	// asked are the questions to other zones that wait for their answers, by their tries.
+	asked map[string]asked
 
 	// silent are the entries that were not heard at the last heartbeat.
 	silent []string
@@ -59,7 +61,7 @@
 }
 
 func newPeerExchange(s *Server, group *peering.Group) *peerExchange {
-	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), addresses: map[string]net.Addr{}}
+	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), addresses: map[string]net.Addr{}, asked: map[string]asked{}}
 }
 
 func (p *peerExchange) router() http.Handler {
@@ -172,7 +174,9 @@
 		p.noteSilent(silent)
 		p.send(beat.Lists, peering.Message{Members: running})
 		p.send(beat.Rest, peering.Message{})
-		p.send(beat.Far, peering.Message{Members: neighbours})
+		far := peering.Message{Members: neighbours}
+		far.SetRoom(p.s.tellRoom(now))
+		p.send(beat.Far, far)
 		p.catchUp(now)
 		select {
 		case <-ticker.C:
@@ -222,6 +226,12 @@
 	if m.Update != nil {
 		p.s.takeUpdate(*m.Update, m.From)
 	}
+	if m.Place != nil {
+		p.takePlace(*m.Place)
+	}
+	if m.Ask != nil {
+		p.s.answerAsk(now, m.From, *m.Ask)
+	}
 	if p.s.manager.State() == lifecycle.Starting {
 		// Their answers tell who is up to date.
 		p.send(sender.Found[:min(len(sender.Found), helloAtStart)], peering.Message{})
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	for {
 		now := time.Now()
-		choice, refusal := e.choose(now)
+		choice, refusal := e.place(ctx, now)
 		if refusal != "" {
 			cause := refusalOf(refusal, choice)
 			cause.RetryAfter = e.spread(cause.RetryAfter)
@@ -86,6 +86,15 @@
 	return e.s.book.Choose(now, e.query(now, e.core.Excluded()))
 }
 
+// chooseAnywhere chooses among all servers, also those of other zones.
+func (e *exchange) chooseAnywhere(now time.Time) (placement.Choice, placement.Refusal) {
+	e.s.mu.Lock()
+	defer e.s.mu.Unlock()
+	query := e.query(now, e.core.Excluded())
+	query.Servers = e.s.directory.Available(e.service.Name)
+	return e.s.book.Choose(now, query)
+}
+
 // query asks for a server other than those excluded; the caller holds the lock.
 func (e *exchange) query(now time.Time, excluded []string) placement.Query {
 	servers := e.s.serversFor(e.service)
@@ -100,9 +109,7 @@
 // holds the lock.
 func (s *Server) serversFor(service *routes.Service) []directory.Server {
 	if service.Engine != nil && s.isDivided(service.Name) {
-		if own := s.directory.AvailableIn(service.Name, s.settings.Zone); len(own) > 0 {
-			return own
-		}
+		return s.directory.AvailableIn(service.Name, s.settings.Zone)
 	}
 	return s.directory.Available(service.Name)
 }
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -84,9 +84,9 @@
 }
 
 type counters struct {
-	requests, complete, refused, unknown, gone, again, resumed, moved                          metrics.Counter
-	storeCalls, storeErrors, rowsRejected, peerMessages, peerBytes, viewsFetched, linesDropped metrics.Counter
-	firstByte, whole                                                                           metrics.Timer
+	requests, complete, refused, unknown, gone, again, resumed, moved                                   metrics.Counter
+	storeCalls, storeErrors, rowsRejected, peerMessages, peerBytes, viewsFetched, crossed, linesDropped metrics.Counter
+	firstByte, whole                                                                                    metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -100,6 +100,7 @@
 		rowsRejected: metrics.NewRegisteredCounter("store.rows.rejected", r),
 		peerMessages: metrics.NewRegisteredCounter("peer.messages", r), peerBytes: metrics.NewRegisteredCounter("peer.bytes", r),
 		viewsFetched: metrics.NewRegisteredCounter("peer.views.fetched", r),
+		crossed:      metrics.NewRegisteredCounter("requests.crossed", r),
 		linesDropped: metrics.NewRegisteredCounter("log.lines.dropped", r),
 		firstByte:    metrics.NewRegisteredTimer("first.byte", r), whole: metrics.NewRegisteredTimer("whole.answer", r),
 	}
--- a/proof/days/main.go
+++ b/proof/days/main.go
@@ -1,6 +1,8 @@
 // Command days writes files that describe days of trouble: each row of the table
 // mixes kinds of disruption that the standard days leave out with stops, kills,
-// changes of the configuration, taken keys and a store that can't be read.
+// changes of the configuration, taken keys and a store that can't be read. "@c0", "@s0"
+// and "@z0" stand for a deployment's first kind of request, service and zone. The files
+// are kept in deploy/days, so that every hunt on every deployment plays them.
 package main
 
 import (
@@ -57,6 +59,24 @@
 		[]string{`{ at = 1.0, kind = "applied_late", x = 0.6, for_s = 12.0 }`, `{ at = 3.0, kind = "node_kill", on = "core", count = 1, how = "giver" }`, `{ at = 6.0, kind = "node_kill", on = "core", count = 1, how = "giver" }`,
 			`{ at = 8.0, kind = "node_freeze", on = "core", count = 2, for_s = 4.0, how = "giver" }`, `{ at = 15.0, kind = "srv_grey", how = "mute", share = 0.3, x = 0.3, for_s = 5.0 }`,
 			`{ at = 22.0, kind = "give_up", share = 0.4, for_s = 6.0 }`}},
+	{"back-under-the-old-id", []string{`{ at = 15.0, kind = "config_change", how = "weights" }`},
+		[]string{`{ at = 2.0, kind = "srv_cut", how = "reborn", share = 0.3, for_s = 3.0 }`, `{ at = 3.0, kind = "burst", class = "@c0", x = 2.5, for_s = 8.0 }`,
+			`{ at = 9.0, kind = "srv_flap", service = "@s0", share = 0.2, gap_s = 1.2, for_s = 8.0 }`, `{ at = 18.0, kind = "srv_cut", how = "reborn", share = 0.3, for_s = 2.0 }`,
+			`{ at = 21.0, kind = "srv_cut", how = "reborn", share = 0.3, for_s = 2.0 }`, `{ at = 24.0, kind = "applied_late", x = 0.4, for_s = 5.0 }`}},
+	{"restarts-in-a-burst", []string{`{ at = 3.0, kind = "roll_term", share = 0.35, x = 3.0, gap_s = 1.0 }`, `{ at = 6.0, kind = "config_storm", for_s = 3.0, gap_s = 0.25 }`, `{ at = 20.0, kind = "roll_term", share = 0.5, x = 6.0, gap_s = 1.0 }`},
+		[]string{`{ at = 2.0, kind = "burst", class = "@c0", x = 2.5, for_s = 9.0 }`, `{ at = 19.0, kind = "burst", x = 1.6, for_s = 6.0 }`}},
+	{"readers-killed", []string{`{ at = 4.5, kind = "config_change", how = "tenant" }`, `{ at = 8.5, kind = "revoke", count = 2, gap_s = 0.5 }`, `{ at = 13.0, kind = "scale_in", share = 0.1 }`, `{ at = 18.0, kind = "config_storm", for_s = 3.0, gap_s = 0.3 }`},
+		[]string{`{ at = 4.0, kind = "node_kill", on = "core", count = 2, how = "reader" }`, `{ at = 8.0, kind = "node_freeze", on = "core", count = 3, for_s = 4.0, how = "reader" }`,
+			`{ at = 13.0, kind = "core_cut", count = 3, for_s = 5.0, how = "reader" }`, `{ at = 18.0, kind = "node_kill", on = "core", count = 3, how = "reader power", for_s = 3.0 }`,
+			`{ at = 23.0, kind = "core_cut", count = 4, for_s = 4.0, how = "reader one_way" }`}},
+	{"a-zone-without-servers", []string{`{ at = 20.0, kind = "config_change", how = "weights" }`},
+		[]string{`{ at = 5.0, kind = "srv_crash", service = "@s0", how = "domain", for_s = 8.0 }`, `{ at = 18.0, kind = "srv_crash", service = "@s0", zone = "@z0", share = 1.0, how = "dark", for_s = 8.0 }`}},
+	{"a-zone-cut-off", []string{`{ at = 7.0, kind = "config_change", how = "tenant" }`, `{ at = 17.0, kind = "scale_in", share = 0.1 }`},
+		[]string{`{ at = 5.0, kind = "node_cut", zone = "@z0", share = 1.0, for_s = 5.0 }`, `{ at = 15.0, kind = "node_cut", zone = "@z0", share = 1.0, for_s = 5.0, how = "all" }`,
+			`{ at = 24.0, kind = "lossy", zone = "@z0", x = 0.1, for_s = 6.0 }`}},
+	{"busy-small-hosts", []string{`{ at = 4.0, kind = "big_config", count = 1000 }`, `{ at = 10.0, kind = "config_storm", for_s = 4.0, gap_s = 0.3 }`, `{ at = 17.0, kind = "hup", share = 1.0, gap_s = 1.0 }`},
+		[]string{`{ at = 3.0, kind = "lossy", x = 0.08, for_s = 8.0 }`, `{ at = 9.0, kind = "burst", class = "@c0", x = 2.5, for_s = 6.0 }`, `{ at = 16.0, kind = "node_slow", share = 0.4, x = 4.0, for_s = 6.0 }`,
+			`{ at = 22.0, kind = "retry_abuse", x = 4.0, share = 0.5, for_s = 6.0 }`}},
 }
 
 func (d day) text() string {
