Account by the entries' hosts, by what choosers lacked, and of reads beside answers that paused

arbutus-entry account splits requests by the rate of the link of the entry's host (told in its started line), by how many requests at the chosen server the chooser did not know of, and counts the reads of other prompts that began at a server while an answer paused there.

--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -80,6 +80,11 @@
 	All      *Tally
 	ByRoute  map[string]*Tally
 	ByLength map[Length]*Tally
+	// ByLink is by the rate of the link of the entry's host, in Mbit/s; 0 where it is not
+	// told. ByLacked is by how many requests at the first server the chooser did not know.
+	ByLink   map[float64]*Tally
+	ByLacked map[int]*Tally
+	Pauses   Pauses
 	// Spans are by the number of Step since the first line.
 	Spans map[int]*Span
 	Step  time.Duration
@@ -89,14 +94,17 @@
 	// Dropped counts the requests that were forgotten before they ended.
 	Dropped int
 
-	open  map[string]*history
-	under map[Length]int
+	open   map[string]*history
+	under  map[Length]int
+	links  map[string]float64
+	places places
 }
 
 // New returns an empty account.
 func New() *Account {
 	return &Account{All: newTally(), ByRoute: map[string]*Tally{}, ByLength: map[Length]*Tally{}, Spans: map[int]*Span{}, Step: time.Second,
-		open: map[string]*history{}, under: map[Length]int{}}
+		ByLink: map[float64]*Tally{}, ByLacked: map[int]*Tally{}, open: map[string]*history{}, under: map[Length]int{},
+		links: map[string]float64{}, places: places{}}
 }
 
 // Length is a class of prompts: those of up to 1,000 tokens times two to its power; -1
@@ -162,6 +170,7 @@
 func (a *Account) take(line *Line) error {
 	switch line.Message {
 	case messageStarted:
+		a.links[line.Entry] = line.LinkMbps
 		return a.closeEntry(line.Entry)
 	case messageChosen:
 		a.chosen(line)
@@ -173,7 +182,9 @@
 
 func (a *Account) chosen(line *Line) {
 	if h := a.open[line.Request]; h != nil {
-		h.line.PredictedMs, h.line.WaitedMs = line.PredictedMs, line.WaitedMs
+		a.places.left(h.line.Server)
+		h.lacked = a.places.chosen(line)
+		h.line.PredictedMs, h.line.WaitedMs, h.line.Server = line.PredictedMs, line.WaitedMs, line.Server
 		h.choices++
 		return
 	}
@@ -182,7 +193,7 @@
 		return
 	}
 	length := lengthOf(line.Tokens)
-	a.open[line.Request] = &history{line: *line, choices: 1, beside: a.longUnderWay(length)}
+	a.open[line.Request] = &history{line: *line, choices: 1, beside: a.longUnderWay(length), lacked: a.places.chosen(line)}
 	a.under[length]++
 }
 
@@ -208,6 +219,7 @@
 
 func (a *Account) forget(request string, h *history) {
 	delete(a.open, request)
+	a.places.left(h.line.Server)
 	a.under[lengthOf(h.line.Tokens)]--
 }
 
@@ -241,19 +253,29 @@
 	if route == "" {
 		route = "(no route)"
 	}
-	for _, tally := range []*Tally{a.All, tallyOf(a.ByRoute, route), tallyOf(a.ByLength, lengthOf(h.line.Tokens))} {
+	tallies := []*Tally{a.All, tallyOf(a.ByRoute, route), tallyOf(a.ByLength, lengthOf(h.line.Tokens)), tallyOf(a.ByLink, a.links[h.line.Entry])}
+	if h.choices > 0 {
+		tallies = append(tallies, tallyOf(a.ByLacked, min(h.lacked, lackedMost)))
+	}
+	if cause == Pause && end.FirstMs != nil {
+		from := end.Time.Add(-millis(end.TookMs - *end.FirstMs))
+		a.Pauses.add(a.places.during(h.line.Server, from, end.Time))
+	}
+	for _, tally := range tallies {
 		if err := tally.add(cause, end.FirstMs, h.beside); err != nil {
 			return fmt.Errorf("a time of %v ms: %w", *end.FirstMs, err)
 		}
 	}
 	began := h.line.Time
 	if !end.Time.IsZero() {
-		began = end.Time.Add(-time.Duration(end.TookMs * float64(time.Millisecond)))
+		began = end.Time.Add(-millis(end.TookMs))
 	}
 	a.countSpan(began, cause)
 	return nil
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func tallyOf[K comparable](tallies map[K]*Tally, key K) *Tally {
 	if tallies[key] == nil {
 		tallies[key] = newTally()
--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -159,3 +159,32 @@
 	require.NoError(t, a.WritePlot(&plot))
 	require.Contains(t, plot.String(), "<svg")
 }
+
+// Entries on hosts with slow links, choices on news that lack requests, and reads that made
+// answers pause are told apart: of four requests at one server the second chooser knew one
+// of two, and the answer of the third paused beside the read of a long prompt.
+func TestTheAccountSplitsByHostAndByWhatWasNotKnown(t *testing.T) {
+	chosen := func(at int, entry, request string, tokens, believed int, helpers string) string {
+		return fmt.Sprintf(`{"msg":"server chosen","time":%q,"name":%q,"request":%q,"route":"r","tokens":%d,"server":"s1","serverRequests":%d,"helpers":[%s]}`,
+			stamp(at), entry, request, tokens, believed, helpers) + "\n"
+	}
+	started := func(entry string, link int) string {
+		return fmt.Sprintf(`{"msg":"started","time":%q,"name":%q,"linkMbps":%d}`, stamp(0), entry, link) + "\n"
+	}
+	whole := `"tookMs":1000,"outcome":"finished","firstMs":100,"longestGapMs":%d`
+	a, bad := read(t, started("big", 200)+chosen(1, "big", "a", 1000, 0, "")+chosen(20, "big", "c", 1000, 2, "")+
+		endedLine(1010, "big", "a", fmt.Sprintf(whole, 10))+endedLine(1020, "big", "c", fmt.Sprintf(whole, 400)),
+		started("small", 20)+chosen(10, "small", "b", 1000, 0, "")+chosen(500, "small", "d", 400_000, 3, `"s2"`)+
+			endedLine(1030, "small", "b", fmt.Sprintf(whole, 10))+endedLine(1400, "small", "d", fmt.Sprintf(whole, 10)))
+	require.Empty(t, bad)
+	require.Equal(t, 2, a.ByLink[200].Asked)
+	require.Equal(t, 1, a.ByLink[200].Causes[Pause])
+	require.Equal(t, 2, a.ByLink[20].Asked)
+	require.Equal(t, 3, a.ByLacked[0].Asked)
+	require.Equal(t, 1, a.ByLacked[1].Asked)
+	require.Equal(t, Pauses{Answers: 1, ByReads: [4]int{0, 1}, Longest: []int64{200_000}}, a.Pauses)
+	var table strings.Builder
+	require.NoError(t, a.WriteTable(&table))
+	require.Contains(t, table.String(), "20 Mbit/s")
+	require.Contains(t, table.String(), "200000")
+}
--- a/entry/account/cause.go
+++ b/entry/account/cause.go
@@ -67,6 +67,8 @@
 	choices int
 	// beside says that a much longer prompt was under way when it began.
 	beside bool
+	// lacked is how many requests at its server the chooser did not know of.
+	lacked int
 }
 
 // causeOf classifies an ended request by its last choice of a server and its end.
--- a/entry/account/lines.go
+++ b/entry/account/lines.go
@@ -26,6 +26,13 @@
 	// chosen, WaitedMs the time that had passed at the entry.
 	PredictedMs float64 `json:"predictedMs"`
 	WaitedMs    float64 `json:"waitedMs"`
+	// Server and Helpers are the servers chosen, ServerRequests what was believed to run or
+	// wait at Server.
+	Server         string   `json:"server"`
+	Helpers        []string `json:"helpers"`
+	ServerRequests int      `json:"serverRequests"`
+	// LinkMbps is the rate of the link of an entry's host, in Mbit/s, told at its start.
+	LinkMbps float64 `json:"linkMbps"`
 	// FirstMs is nil where nothing was delivered.
 	FirstMs      *float64 `json:"firstMs"`
 	LongestGapMs float64  `json:"longestGapMs"`
--- a/entry/account/table.go
+++ b/entry/account/table.go
@@ -18,7 +18,8 @@
 	tally       *Tally
 }
 
-// rows returns all groups: all requests, by route, by length.
+// rows returns all groups: all requests, by route, by length, by the links of the entries'
+// hosts, and by what the chooser lacked.
 func (a *Account) rows() []row {
 	rows := []row{{"all", "all", a.All}}
 	for _, name := range slices.Sorted(maps.Keys(a.ByRoute)) {
@@ -27,9 +28,23 @@
 	for _, length := range slices.Sorted(maps.Keys(a.ByLength)) {
 		rows = append(rows, row{"prompt", length.String(), a.ByLength[length]})
 	}
+	for _, link := range slices.Sorted(maps.Keys(a.ByLink)) {
+		rows = append(rows, row{"link", fmt.Sprintf("%g Mbit/s", link), a.ByLink[link]})
+	}
+	for _, lacked := range slices.Sorted(maps.Keys(a.ByLacked)) {
+		rows = append(rows, row{"lacked", lackedName(lacked), a.ByLacked[lacked]})
+	}
 	return rows
 }
 
+// lackedName names a number of requests that a chooser did not know of.
+func lackedName(lacked int) string {
+	if lacked == lackedMost {
+		return fmt.Sprintf("%d or more", lacked)
+	}
+	return strconv.Itoa(lacked)
+}
+
 // seen are the causes that occur.
 func (a *Account) seen() []Cause {
 	return slices.DeleteFunc(slices.Clone(Causes), func(c Cause) bool { return a.All.Causes[c] == 0 })
@@ -58,6 +73,15 @@
 		}
 		print("\n")
 	}
+	print("\t\npaused answers\treads of others there meanwhile\t")
+	for reads := range a.Pauses.ByReads {
+		print("%s\t", lackedName(reads))
+	}
+	print("longest, median tokens\t\n%d\t\t", a.Pauses.Answers)
+	for _, count := range a.Pauses.ByReads {
+		print("%d\t", count)
+	}
+	print("%d\t\n", a.Pauses.MedianLongest())
 	print("\t\nfrom\tasked\t")
 	for _, cause := range causes {
 		print("%s\t", cause)
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -194,7 +194,7 @@
 		t.Go(func() error { return s.options.Lines.Run(t.Dying()) })
 	}
 	s.log.WithFields(logrus.Fields{"incarnation": s.incarnation, "pid": os.Getpid(), "zone": s.settings.Zone,
-		"listen": s.settings.ListenAddress, "store": s.settings.Store, "seeds": s.settings.Seeds}).Info("started")
+		"listen": s.settings.ListenAddress, "store": s.settings.Store, "linkMbps": s.settings.LinkMbps, "seeds": s.settings.Seeds}).Info("started")
 	if err := s.serveCallers(t); err != nil {
 		return err
 	}
