Divide fewer servers among many entries, greet neighbours at once, tell of servers that take nothing

Change: the servers needed for a part shrink with the number of entries; found entries of the own zone are greeted at once, and a serving entry announces itself; a server that takes nothing (no connection, a reset before any answer, not run) is left alone and the zone is told; the first event of a later request there ends it.

--- a/core/parts/division.go
+++ b/core/parts/division.go
@@ -10,15 +10,20 @@
 package parts
 
 const (
-	// least is how many servers each zone has to have to be a part by itself: half as many
-	// again as read one prompt at the most, so that a very long prompt leaves some to the
-	// others. With 18 servers a zone 28 entries earned 0.011 to 0.017 less of the worth
-	// than without parts, with 26 the same; 68 entries with 27 a zone earned 0.07 to 0.1
-	// more (one run each).
-	least = 24
-	// leastKept is how many servers suffice to stay divided. The gap keeps the entries
-	// from changing to and fro while servers crash and return.
-	leastKept = 12
+	// fewEntries is the number of entries at which a zone is a part by itself from
+	// mostNeeded servers on; the more entries there are, the more each of them saves, and the
+	// fewer servers suffice, down to leastNeeded. Half as many again as read one prompt at
+	// the most are mostNeeded, so that a very long prompt leaves some to the others. 28
+	// entries earned 0.011 to 0.017 less of the worth in parts of 18 servers than without
+	// parts, and the same in parts of 26; 68 entries earned 0.07 to 0.1 more in parts of 27
+	// (one run each). When these had started anew beside 22 servers a zone and shared all of
+	// them, they knew of three requests too few or more in 60 of 100 choices.
+	fewEntries  = 40
+	mostNeeded  = 24
+	leastNeeded = 12
+	// keptShare is the share of the needed servers that suffices to stay divided. The gap
+	// keeps the entries from changing to and fro while servers crash and return.
+	keptShare = 0.5
 	// zonesDivided is the least number of zones that make parts.
 	zonesDivided = 2
 )
@@ -27,15 +32,21 @@
 // undivided.
 type Division struct{ divided bool }
 
-// Update takes in how many servers each zone has, and returns whether they are divided.
-func (d *Division) Update(servers map[string]int) bool {
-	need := least
+// Update takes in how many servers each zone has and how many entries there are, and returns
+// whether the servers are divided.
+func (d *Division) Update(servers map[string]int, entries int) bool {
+	need := needed(entries)
 	if d.divided {
-		need = leastKept
+		need *= keptShare
 	}
 	d.divided = len(servers) >= zonesDivided
 	for _, count := range servers {
-		d.divided = d.divided && count >= need
+		d.divided = d.divided && float64(count) >= need
 	}
 	return d.divided
 }
+
+// needed is how many servers make a zone a part by itself.
+func needed(entries int) float64 {
+	return min(max(mostNeeded*fewEntries/float64(max(entries, 1)), leastNeeded), mostNeeded)
+}
--- a/core/parts/division_test.go
+++ b/core/parts/division_test.go
@@ -14,22 +14,35 @@
 		"one zone is small": {"a": 60, "b": 60, "c": 23},
 	} {
 		var d Division
-		require.False(t, d.Update(servers), name)
+		require.False(t, d.Update(servers, 28), name)
 	}
 	var d Division
-	require.True(t, d.Update(map[string]int{"a": 24, "b": 40}))
+	require.True(t, d.Update(map[string]int{"a": 24, "b": 40}, 28))
+}
+
+// Many entries on small hosts start anew while a fifth of the servers is away. Sharing all
+// servers, each of them would have to hear of every request of all others again.
+func TestManyEntriesDivideFewerServers(t *testing.T) {
+	zones := map[string]int{"a": 22, "b": 27}
+	for entries, divided := range map[int]bool{3: false, 28: false, 43: false, 44: true, 68: true, 350: true} {
+		var d Division
+		require.Equal(t, divided, d.Update(zones, entries), entries)
+	}
+	var d Division
+	require.False(t, d.Update(map[string]int{"a": 11, "b": 27}, 350), "a long prompt finds too few servers")
+	require.True(t, d.Update(map[string]int{"a": 12, "b": 27}, 350))
 }
 
 // A third of a zone's servers crash for some seconds. Entries that then chose among all
 // servers would know nothing of what the others have sent there, and be back a moment later.
 func TestADivisionOutlivesCrashes(t *testing.T) {
 	var d Division
-	require.True(t, d.Update(map[string]int{"a": 27, "b": 27}))
-	require.True(t, d.Update(map[string]int{"a": 18, "b": 27}))
-	require.True(t, d.Update(map[string]int{"a": 12, "b": 27}))
-	require.False(t, d.Update(map[string]int{"a": 11, "b": 27}))
-	require.False(t, d.Update(map[string]int{"a": 23, "b": 27}), "undivided, it takes more to divide again")
-	require.True(t, d.Update(map[string]int{"a": 24, "b": 27}))
+	require.True(t, d.Update(map[string]int{"a": 27, "b": 27}, 28))
+	require.True(t, d.Update(map[string]int{"a": 18, "b": 27}, 28))
+	require.True(t, d.Update(map[string]int{"a": 12, "b": 27}, 28))
+	require.False(t, d.Update(map[string]int{"a": 11, "b": 27}, 28))
+	require.False(t, d.Update(map[string]int{"a": 23, "b": 27}, 28), "undivided, it takes more to divide again")
+	require.True(t, d.Update(map[string]int{"a": 24, "b": 27}, 28))
 }
 
 // All zones are full at the same time: a request that went to another one would only take
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -23,6 +23,8 @@
 	Begun []placement.Dispatch `cbor:"6,keyasint,omitempty"`
 	First []string             `cbor:"7,keyasint,omitempty"`
 	Ended []string             `cbor:"8,keyasint,omitempty"`
+	// Unreachable are servers, by the names of their starts, that take no requests.
+	Unreachable []string `cbor:"20,keyasint,omitempty"`
 	// Stopping says that the sender leaves.
 	Stopping bool `cbor:"9,keyasint,omitempty"`
 	// Starting says that the sender knows no backend servers yet; it could not
@@ -100,4 +102,6 @@
 }
 
 // HasNews says whether the message tells of requests.
-func (m *Message) HasNews() bool { return len(m.Begun)+len(m.First)+len(m.Ended) > 0 }
+func (m *Message) HasNews() bool {
+	return len(m.Begun)+len(m.First)+len(m.Ended)+len(m.Unreachable) > 0
+}
--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -183,6 +183,7 @@
 	if s == nil {
 		return
 	}
+	s.trust.shows(a.began)
 	if a.began.After(s.answered) {
 		s.answered = a.began
 	}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -367,7 +367,7 @@
 			best, lowest = c, loss
 		}
 	}
-	return Choice{Server: best.Server, Known: best.known(now), Loss: lowest}
+	return Choice{Server: best.Server, Known: best.known(now), Unreachable: now.Before(best.state.trust.until), Loss: lowest}
 }
 
 // At returns the server that reads a part: 0 is Server, then the helpers.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -217,12 +217,12 @@
 func TestAServerThatFlapsIsLeftAloneForLonger(t *testing.T) {
 	b, servers := newBook(), fleet(2)
 	pause := func() time.Duration { return b.servers["s00"].trust.until.Sub(start) }
-	b.Unreachable(start, "s00")
+	b.Unreachable(start, "s00", 0.5)
 	first := pause()
-	b.Unreachable(start, "s00")
+	b.Unreachable(start, "s00", 0.5)
 	require.Equal(t, 2*first, pause())
 	require.Equal(t, "s01", choose(t, b, shortQuery(servers)).Server.ID)
-	b.Unreachable(start, "s01")
+	b.Unreachable(start, "s01", 0.5)
 	_, refusal := b.Choose(start, shortQuery(servers))
 	require.Empty(t, refusal, "with nothing else left it is tried all the same")
 	b.Succeeded(start, "s00")
@@ -277,3 +277,35 @@
 	_, refusal := b.Choose(start, Query{})
 	require.Equal(t, NoServer, refusal)
 }
+
+// A server goes down, and all entries of a zone meet it at the same moment. The first that
+// does tells the others; each then leaves it alone for a time of its own, so that one of
+// them finds out whether it is back.
+func TestEntriesTellOfAServerThatTakesNothing(t *testing.T) {
+	servers := fleet(2)
+	told := newBook()
+	told.UnreachableFrom(start, "s00", 0)
+	choice, refusal := told.Choose(start.Add(300*time.Millisecond), shortQuery(servers))
+	require.Empty(t, refusal)
+	require.Equal(t, "s01", choice.Server.ID)
+	told.UnreachableFrom(start.Add(10*time.Millisecond), "s00", 1)
+	require.Equal(t, start.Add(unreachableBase*3/4), told.servers["s00"].trust.until, "what others met at the same moment adds nothing")
+	later := newBook()
+	later.UnreachableFrom(start, "s00", 1)
+	require.Equal(t, start.Add(unreachableBase*5/4), later.servers["s00"].trust.until)
+}
+
+// A server is back, and one entry's request has its first event there. The others hear of it
+// and use the server at once; a request that began before the failure shows nothing.
+func TestAFirstEventShowsThatAServerIsBack(t *testing.T) {
+	b, servers := newBook(), fleet(1)
+	begin(b, start, "before", "s00")
+	b.UnreachableFrom(start.Add(10*time.Millisecond), "s00", 0.5)
+	b.FirstEvent(start.Add(20*time.Millisecond), "before")
+	at := start.Add(30 * time.Millisecond)
+	require.True(t, at.Before(b.servers["s00"].trust.until))
+	begin(b, start.Add(40*time.Millisecond), "after", "s00")
+	b.FirstEvent(start.Add(90*time.Millisecond), "after")
+	choice, _ := b.Choose(start.Add(100*time.Millisecond), shortQuery(servers))
+	require.False(t, choice.Unreachable)
+}
--- a/core/placement/trust.go
+++ b/core/placement/trust.go
@@ -26,6 +26,8 @@
 	// that goes up and down by turns is not flooded on its return.
 	unreachableBase = 500 * time.Millisecond
 	unreachableMax  = 4 * time.Second
+	// unreachableSpread is the part of the pause that is drawn at random, to either side.
+	unreachableSpread = 0.25
 )
 
 // trust is earned by the results of requests alone. Health answers may be false
@@ -34,8 +36,11 @@
 	failing float64 // share of requests that fail, as believed
 	at      time.Time
 	pace    float64 // actual over predicted time, 0 before the first
-	misses  int
-	until   time.Time
+	// misses counts the times in a row that the server took no request, missedAt is when it
+	// last didn't, until when it is left alone.
+	misses   int
+	missedAt time.Time
+	until    time.Time
 }
 
 // failShare is the believed share of requests that fail here.
@@ -56,11 +61,23 @@
 	t.misses, t.until = 0, time.Time{}
 }
 
-func (t *trust) unreachable(now time.Time) {
+// unreachable leaves the server alone for a while: for a pause that doubles with each miss
+// in a row, stretched or cut by up to a quarter as draw says. Without that all entries, which
+// tell each other of such servers, would try one again at the same moment.
+func (t *trust) unreachable(now time.Time, draw float64) {
 	t.failed(now)
 	pause := min(unreachableBase<<min(t.misses, 8), unreachableMax)
 	t.misses++
-	t.until = now.Add(pause)
+	t.missedAt = now
+	t.until = now.Add(time.Duration(float64(pause) * (1 - unreachableSpread + 2*unreachableSpread*draw)))
+}
+
+// shows takes in that a request that began at a time has its first event here: the server
+// works again. What began before the last miss says nothing of the time after it.
+func (t *trust) shows(began time.Time) {
+	if began.After(t.missedAt) {
+		t.misses, t.until = 0, time.Time{}
+	}
 }
 
 func (t *trust) slowness() float64 {
@@ -85,8 +102,23 @@
 // Failed books a failure of a server.
 func (b *Book) Failed(now time.Time, id string) { b.server(id, nil).trust.failed(now) }
 
-// Unreachable books that no connection to a server could be made.
-func (b *Book) Unreachable(now time.Time, id string) { b.server(id, nil).trust.unreachable(now) }
+// Unreachable books that a server takes no requests: no connection to it could be made, it
+// broke off before its answer, or it said that it did not run the request. draw is a random
+// number from 0 to 1.
+func (b *Book) Unreachable(now time.Time, id string, draw float64) {
+	b.server(id, nil).trust.unreachable(now, draw)
+}
+
+// UnreachableFrom books that another entry has met such a server. One that is left alone
+// already is left alone no longer for it, since the entries that meet it at the same moment
+// all tell of it.
+func (b *Book) UnreachableFrom(now time.Time, id string, draw float64) {
+	s := b.server(id, nil)
+	if now.Before(s.trust.until) {
+		return
+	}
+	s.trust.unreachable(now, draw)
+}
 
 // Awoke forgets what was believed before this process was suspended: loads and
 // failures have gone on without it.
--- a/entry/gateway/book.go
+++ b/entry/gateway/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusdeck/core/directory"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
 )
@@ -35,29 +36,30 @@
 	return s.directory.Superseded(server.Start())
 }
 
+// unreachable books that a server takes no requests, and tells the other entries, which
+// would otherwise each find out with requests of their own.
 func (s *Server) unreachable(server string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.Unreachable(time.Now(), server)
+	s.book.Unreachable(time.Now(), server, s.random.Float64())
+	s.mu.Unlock()
+	s.peers.tell(booking{}, func(m *peering.Message) { m.Unreachable = append(m.Unreachable, server) })
+	s.peers.flushSoon()
 }
 
-// notExecuted books a refusal and returns the server at fault: a helper that the
-// answer names by its address, else the one that answered. An address that another
-// server has now means that the one expected is gone.
+// notExecuted books a refusal and returns the server at fault.
 func (s *Server) notExecuted(choice placement.Choice, answer platform.Answer) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
+	fault := atFault(choice, answer)
+	s.unreachable(fault)
+	return fault
+}
+
+// atFault is the server because of which a request was not run: a helper that the answer
+// names by its address, else the one that answered.
+func atFault(choice placement.Choice, answer platform.Answer) string {
 	for _, helper := range choice.Helpers {
 		if answer.FaultyAt != "" && helper.Address == answer.FaultyAt {
-			s.book.Unreachable(now, helper.Start())
 			return helper.Start()
 		}
 	}
-	if answer.Misdirected {
-		s.book.Unreachable(now, choice.Server.Start())
-	} else {
-		s.book.Failed(now, choice.Server.Start())
-	}
 	return choice.Server.Start()
 }
--- a/entry/gateway/division.go
+++ b/entry/gateway/division.go
@@ -14,13 +14,14 @@
 func (s *Server) isDivided(service string) bool { return s.divided[service] }
 
 // divide looks anew whether the servers of each engine service are divided by zone, after
-// the configuration or the servers have changed. Entries tell each other of requests within
+// the configuration, the servers or the entries have changed. Entries tell each other of requests within
 // their zone only if that holds for every such service.
 func (s *Server) divide() {
 	table := s.table.Load()
 	if table == nil {
 		return
 	}
+	entries := s.peers.size()
 	s.mu.Lock()
 	before := maps.Clone(s.divided)
 	engines, divided := 0, 0
@@ -29,7 +30,7 @@
 			continue
 		}
 		engines++
-		s.divided[service.Name] = s.division(service).Update(s.directory.Zones(service.Name))
+		s.divided[service.Name] = s.division(service).Update(s.directory.Zones(service.Name), entries)
 		if s.divided[service.Name] {
 			divided++
 		}
--- a/entry/gateway/entries_test.go
+++ b/entry/gateway/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -10,8 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/audit"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/core/process"
 	"arbutusdeck/platform/standin"
 )
 
@@ -139,3 +143,55 @@
 	w.eventually("the first hears of the second's stop", func() bool { return returnAfter() > time.Second })
 	require.Less(t, returnAfter(), 2*first.StopLimit())
 }
+
+// A server that went down resets every connection. One entry meets it; the others of the
+// zone leave it alone from then on, and no caller's request finds out once more.
+func TestAServerThatOneEntryFindsDownIsLeftAloneByAll(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	down := w.worker("i-1", "plain", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	w.worker("i-2", "plain", nil)
+	first := w.serve()
+	second := w.start(w.settings(first.settings.PeerAddress))
+	w.eventually("the second is heard", func() bool {
+		first.peers.mu.Lock()
+		defer first.peers.mu.Unlock()
+		return w.known(second) && len(first.peers.group.Near(time.Now())) == 1
+	})
+	first.unreachable("i-1")
+	w.eventually("the second has heard of it", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		choice, _ := second.book.Choose(time.Now(), placement.Query{Servers: second.directory.Available("plain")[:1], Remaining: time.Second})
+		return choice.Unreachable
+	})
+	for range 4 {
+		require.Equal(t, "answer of i-2", w.call(second, http.MethodGet, "/read/", 0, "").body)
+	}
+	require.Empty(t, down.Runs())
+}
+
+// All entries start at once and know a seed of another zone only. It tells each of them of
+// those that were there before; until the next heartbeat nobody else would hear of it, and
+// all would send their callers' first requests to the same servers.
+func TestAFoundNeighbourIsGreetedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	s := New(Options{Settings: w.settings(), Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	listen := func() net.PacketConn {
+		conn, err := net.ListenPacket("udp", loopbackHost()+":0")
+		require.NoError(t, err)
+		t.Cleanup(func() { require.NoError(t, conn.Close()) })
+		return conn
+	}
+	s.peers.conn = listen() // no heartbeats run
+	neighbour, far := listen(), listen()
+	s.peers.take(time.Now(), peering.Message{From: "127.0.0.1:1", Incarnation: "x", Zone: "there", Members: []peering.ZoneMembers{
+		{Zone: "here", Addresses: []string{neighbour.LocalAddr().String()}}, {Zone: "there", Addresses: []string{far.LocalAddr().String()}}}})
+	heard := func(conn net.PacketConn, wait time.Duration) bool {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+		_, _, err := conn.ReadFrom(make([]byte, 2000))
+		return err == nil
+	}
+	require.True(t, heard(neighbour, patience))
+	require.False(t, heard(far, 50*time.Millisecond), "entries of other zones hear by turns")
+}
--- a/entry/gateway/news.go
+++ b/entry/gateway/news.go
@@ -162,6 +162,11 @@
 			s.book.BeginFrom(now, m.From, d, engine)
 		}
 	}
+	for _, server := range m.Unreachable {
+		if _, ok := s.engineOf(server); ok {
+			s.book.UnreachableFrom(now, server, s.random.Float64())
+		}
+	}
 	for _, id := range m.First {
 		s.book.FirstEvent(now, id)
 	}
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -27,9 +27,6 @@
 	// storeSilence is how long the store may be away before the servers of a
 	// peer's view are taken over as well.
 	storeSilence = 300 * time.Millisecond
-	// helloAtStart is to how many entries that it is told of a starting entry says at once
-	// that it is there.
-	helloAtStart = 8
 	// catchUpDelay is how long an entry that hears of a later view waits before it fetches
 	// it: what a reader has told by datagrams may be on its way.
 	catchUpDelay = 60 * time.Millisecond
@@ -86,6 +83,23 @@
 	return nil
 }
 
+// hello tells entries of this zone that were just found that this one is there.
+func (p *peerExchange) hello(found []string) {
+	p.mu.Lock()
+	neighbours := slices.DeleteFunc(slices.Clone(found), func(address string) bool { return p.group.Zone(address) != p.s.settings.Zone })
+	p.mu.Unlock()
+	p.send(neighbours, peering.Message{})
+}
+
+// announce tells all near entries at once that this one serves: from now on it can book what
+// they tell it, and they tell it what is open.
+func (p *peerExchange) announce() {
+	p.mu.Lock()
+	near := p.group.Near(time.Now())
+	p.mu.Unlock()
+	p.send(near, peering.Message{})
+}
+
 // seed takes in changed seeds.
 func (p *peerExchange) seed(seeds []string) {
 	p.mu.Lock()
@@ -232,9 +246,10 @@
 	if m.Ask != nil {
 		p.s.answerAsk(now, m.From, *m.Ask)
 	}
-	if p.s.manager.State() == lifecycle.Starting {
-		// Their answers tell who is up to date.
-		p.send(sender.Found[:min(len(sender.Found), helloAtStart)], peering.Message{})
+	if len(sender.Found) > 0 {
+		// Their answers tell who is up to date. Where all start at once, nobody would hear of
+		// most others until the next heartbeat, and all would choose the same servers.
+		p.hello(sender.Found)
 	}
 	p.catchUpSoon(m)
 	if sender.Joined {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -139,7 +139,10 @@
 func (s *Server) stateChanged(from, to lifecycle.State) {
 	s.log.WithFields(logrus.Fields{"from": from, "to": to, "open": s.manager.Open()}).Info("state changed")
 	s.audit(audit.Event{Area: audit.Lifecycle, Subject: s.options.Settings.Name, From: string(from), To: string(to), Why: "lifecycle", Source: "process"})
-	if to == lifecycle.Draining {
+	switch to {
+	case lifecycle.Serving:
+		s.peers.announce()
+	case lifecycle.Draining:
 		s.beginStop()
 	}
 }
@@ -262,6 +265,7 @@
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
 		s.noteServers(changes, "platform")
+		s.divide()
 		s.becomeReady()
 		s.connections.closeIdle(now, s.idleTimeout())
 		select {
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -107,8 +107,13 @@
 		return e.ended(ctx, server, execution.ForwardUnsent, refusal)
 	}
 	e.core.Sending()
-	if ctx.Err() == nil {
-		e.s.serverFailed(server)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, context.Canceled):
+		e.s.serverFailed(server) // this entry broke the try off: the server is stalled
+	default:
+		// A server that went down resets connections or closes them before it answers.
+		e.s.unreachable(server)
 	}
 	return e.ended(ctx, server, execution.ForwardBroken, refusal)
 }
