--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -19,6 +19,7 @@
 // soundRecords are of a run in which one order is served and nothing is broken.
 func soundRecords() *Records {
 	r := newRecords()
+	r.ChangeBound = DefaultChangeBound
 	r.Starts[0] = []time.Time{began}
 	r.Configs = []ConfigChange{{1, began}, {2, began}, {3, began}}
 	r.Calm = after(100)
--- a/proof/soak/check_times.go
+++ b/proof/soak/check_times.go
@@ -120,7 +120,7 @@
 		return
 	}
 	for _, change := range c.Configs {
-		if change.Version == call.Marker && call.Began.Sub(change.At) > configurationBound+slack {
+		if change.Version == call.Marker && call.Began.Sub(change.At) > c.ChangeBound+slack {
 			c.found("a configuration is in force in time", "entry %d: %s was answered %d %s after version %d", call.Entry, call.ID, call.Status,
 				call.Began.Sub(change.At).Round(time.Millisecond), call.Marker)
 		}
@@ -131,7 +131,7 @@
 func (c *checker) checkLeaving(a Arrival) {
 	left, ok := c.Leaving[a.Worker]
 	call := c.calls[a.ID]
-	if !ok || call == nil || a.At.Sub(left) <= drainBound+slack {
+	if !ok || call == nil || a.At.Sub(left) <= c.ChangeBound+slack {
 		return
 	}
 	if c.inTouch(call.Entry, call.Began, a.At) {
--- a/proof/soak/cmd/soak/main.go
+++ b/proof/soak/cmd/soak/main.go
@@ -26,6 +26,7 @@
 			&cli.FloatFlag{Name: "minutes", Value: 0.5, Usage: "how long faults strike, for each seed"},
 			&cli.IntFlag{Name: "processes", Value: 5, Usage: "how many entries run"},
 			&cli.IntFlag{Name: "workers", Value: 9, Usage: "how many backend servers the stand-ins play"},
+			&cli.DurationFlag{Name: "bound", Value: soak.DefaultChangeBound, Usage: "how soon a change has to be in force; from 2.5s on two entries read the store for all"},
 			&cli.BoolFlag{Name: "untimed", Usage: "check no promise that bounds a time, for a machine that is busy"},
 			&cli.StringFlag{Name: "keep", Value: filepath.Join(os.TempDir(), "arbutus-soak"), Usage: "the `FOLDER` that keeps the logs of failed seeds"},
 		},
@@ -72,7 +73,7 @@
 func playSeed(c *cli.Command, seed uint64, binary, folder string) (bool, error) {
 	kept := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 	report, err := soak.Play(soak.Options{Seed: seed, Length: time.Duration(c.Float("minutes") * float64(time.Minute)), Entries: c.Int("processes"),
-		Workers: c.Int("workers"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
+		Workers: c.Int("workers"), ChangeBound: c.Duration("bound"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, kept, err)
 	}
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -29,6 +29,10 @@
 	Binary string
 	// Folder gets the settings and logs of the processes.
 	Folder string
+	// ChangeBound is how long after the store's acknowledgement an older configuration may
+	// be used and a leaving server may get requests, as the entries are told; 0 is
+	// DefaultChangeBound, below which each entry reads the store itself.
+	ChangeBound time.Duration
 	// Timed also checks the promises that bound times. They hold on a machine
 	// that is not overloaded.
 	Timed bool
@@ -38,11 +42,8 @@
 
 // Bounds of the promises, and what a busy machine adds to them.
 const (
-	// drainBound is how long after the store's acknowledgement a leaving server
-	// may still get requests, and configurationBound how long after it the older
-	// configuration may still be used. Both are the users' figures.
-	drainBound         = 2 * time.Second
-	configurationBound = 2 * time.Second
+	// DefaultChangeBound is the ChangeBound of the users' smallest deployments.
+	DefaultChangeBound = 2 * time.Second
 	// stableWindow is how long an entry must have been free of faults for these
 	// bounds to hold; the users' figure.
 	stableWindow = 3 * time.Second
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -80,7 +80,10 @@
 
 // Records is everything that was seen. The fields may be read once all has ended.
 type Records struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ChangeBound is that of the run's options.
+	ChangeBound time.Duration
+
 	Calls    []Call
 	Runs     []*Run
 	Arrivals []Arrival
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -62,8 +62,12 @@
 // promise that rests on no time.
 func TestSeededRunsKeepEveryPromise(t *testing.T) {
 	binary := build(t, "")
-	for _, o := range kept(t) {
-		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
+	runs := kept(t)
+	// The same faults where two entries read the store for all.
+	shared := runs[0]
+	shared.ChangeBound, shared.Entries = 4*time.Second, 5
+	for _, o := range append(runs, shared) {
+		t.Run(fmt.Sprint(o.Seed, o.ChangeBound), func(t *testing.T) {
 			t.Parallel()
 			o.Binary, o.Folder = binary, t.TempDir()
 			report, err := Play(o)
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -39,7 +39,11 @@
 func markerKey(version int) string    { return fmt.Sprintf("marker-key-%d", version) }
 
 func newWorld(o Options) (*world, error) {
+	if o.ChangeBound == 0 {
+		o.ChangeBound = DefaultChangeBound
+	}
 	w := &world{options: o, records: newRecords(), store: standin.NewStore(), probing: &http.Client{Timeout: time.Second}}
+	w.records.ChangeBound = o.ChangeBound
 	for range 3 {
 		w.configure()
 	}
@@ -84,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	settings := settingsOf(index, host, toStore.Address(), seeds)
+	settings := settingsOf(index, host, toStore.Address(), seeds, w.options.ChangeBound)
 	front, err := NewLink("127.0.0.1:0", settings.ListenAddress)
 	if err != nil {
 		return err
@@ -176,8 +180,6 @@
 const (
 	// rowLapse is how long a crashed server's row stays in the store.
 	rowLapse = 1500 * time.Millisecond
-	// leaveTime is how long a leaving server goes on serving.
-	leaveTime = drainBound + time.Second
 	// reuseAfter is how long an address stays unused.
 	reuseAfter = 2 * time.Second
 )
@@ -212,7 +214,7 @@
 		s.start()
 	case WorkerLeaves:
 		s.leave()
-		time.Sleep(leaveTime)
+		time.Sleep(w.options.ChangeBound + time.Second)
 		s.unlist(s.current())
 		s.crash()
 		s.start()
