Tell long lists of entries in parts, and follow a changed limit of changes

Cause: a list of 101 entries is longer than a packet; a limit that the settings file changes left the reading of the store as it was. Tests seen red by their mutations.

--- a/core/peering/beats.go
+++ b/core/peering/beats.go
@@ -37,6 +37,28 @@
 	return beat
 }
 
+// maxMembers bounds the addresses of a message so that it stays within one packet of a usual
+// link (1,500 bytes); an address takes some 16 bytes.
+const maxMembers = 60
+
+// InParts divides a list of entries into parts that fit a message.
+func InParts(members []ZoneMembers) [][]ZoneMembers {
+	var parts [][]ZoneMembers
+	room := 0
+	for _, zone := range members {
+		for rest := zone.Addresses; len(rest) > 0; {
+			if room == 0 {
+				parts, room = append(parts, nil), maxMembers
+			}
+			count := min(room, len(rest))
+			last := len(parts) - 1
+			parts[last] = append(parts[last], ZoneMembers{Zone: zone.Zone, Addresses: rest[:count]})
+			rest, room = rest[count:], room-count
+		}
+	}
+	return parts
+}
+
 // farZones returns the zones of the members that are not near, in a fixed order.
 func (g *Group) farZones() []string {
 	var zones []string
--- a/core/peering/zones_test.go
+++ b/core/peering/zones_test.go
@@ -79,6 +79,27 @@
 	require.Equal(t, told, g.Running(later))
 }
 
+// Hundreds of entries don't fit one packet; a message that is cut into two on its way is lost
+// with either of them.
+func TestAListOfHundredsOfEntriesIsToldInParts(t *testing.T) {
+	members := []ZoneMembers{{Zone: "a", Addresses: named("10.100.200.1:5000", 70)}, {Zone: "b", Addresses: named("10.100.201.1:5000", 80)}}
+	parts := InParts(members)
+	require.Len(t, parts, 3)
+	told := map[string]int{}
+	for _, part := range parts {
+		m := zoned("10.100.200.100:50000", "a")
+		m.Members = part
+		data, err := Encode(m)
+		require.NoError(t, err)
+		require.Less(t, len(data), 1400)
+		for _, zone := range part {
+			told[zone.Zone] += len(zone.Addresses)
+		}
+	}
+	require.Equal(t, map[string]int{"a": 70, "b": 80}, told)
+	require.Empty(t, InParts(nil))
+}
+
 // An entry that starts knows a few seeds, which may be of other zones. What they tell it
 // leads to its neighbours.
 func TestAStartingEntryFindsItsNeighboursThroughAnotherZone(t *testing.T) {
--- a/entry/gateway/news.go
+++ b/entry/gateway/news.go
@@ -180,7 +180,7 @@
 	p.mu.Lock()
 	running := p.group.Running(now)
 	p.mu.Unlock()
-	p.send([]string{target}, peering.Message{Members: running})
+	p.sendMembers([]string{target}, running)
 }
 
 // tellOpen tells an entry that has started or was cut off of all that is under way
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -135,7 +135,7 @@
 	}
 	m.From, m.Zone, m.Incarnation = p.s.settings.PeerAddress, p.s.settings.Zone, p.s.incarnation
 	m.Version, m.Revision = p.s.versions()
-	m.Capacity = p.s.settings.readOptions().Capacity
+	m.Capacity = p.s.readOptions.Load().Capacity
 	m.SetStore(p.s.storeState(time.Now()))
 	m.Stopping = p.s.stopping.Load() != nil
 	m.Starting = p.s.manager.State() == lifecycle.Starting
@@ -158,6 +158,13 @@
 	}
 }
 
+// sendMembers tells some entries of those that run.
+func (p *peerExchange) sendMembers(targets []string, members []peering.ZoneMembers) {
+	for _, part := range peering.InParts(members) {
+		p.send(targets, peering.Message{Members: part})
+	}
+}
+
 // resolve returns a peer's address as the socket takes it. It is read once: each request
 // is told to all near entries three times.
 func (p *peerExchange) resolve(target string) (net.Addr, error) {
@@ -186,7 +193,7 @@
 		silent, _ := p.group.Silent(now)
 		p.mu.Unlock()
 		p.noteSilent(silent)
-		p.send(beat.Lists, peering.Message{Members: running})
+		p.sendMembers(beat.Lists, running)
 		p.send(beat.Rest, peering.Message{})
 		far := peering.Message{Members: neighbours}
 		far.SetRoom(p.s.tellRoom(now))
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -75,7 +75,7 @@
 	}
 	for s.tomb.Alive() && s.readsStore(time.Now()) {
 		revision := s.position()
-		changes, err := s.store.Watch(ctx, revision, s.settings.readOptions().Wait(watchWait))
+		changes, err := s.store.Watch(ctx, revision, s.readOptions.Load().Wait(watchWait))
 		s.counters.storeCalls.Inc(1)
 		if err != nil {
 			return err
@@ -83,7 +83,7 @@
 		s.reached()
 		s.takeWatched(revision, changes)
 		s.becomeReady()
-		pause := time.Duration(watchPauseShare * float64(s.settings.changeLimit()))
+		pause := time.Duration(watchPauseShare * float64(s.readOptions.Load().Limit))
 		if !s.sleep(pause) {
 			return nil
 		}
--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -27,6 +27,14 @@
 	return reads
 }
 
+// setReading brings options of reading the store into force.
+func (s *Server) setReading(options peering.ReadOptions) {
+	s.readOptions.Store(&options)
+	s.peers.mu.Lock()
+	defer s.peers.mu.Unlock()
+	s.peers.group.SetReading(options)
+}
+
 // storeState is what this entry tells others of its reading.
 func (s *Server) storeState(now time.Time) peering.StoreState {
 	s.mu.Lock()
@@ -38,7 +46,7 @@
 // learnFromPeers takes over what an entry of the zone knows that is up to date. A starting
 // entry would otherwise read the whole list from the store, as all others do when all start.
 func (s *Server) learnFromPeers() {
-	if !s.settings.readOptions().Shares() {
+	if !s.readOptions.Load().Shares() {
 		return
 	}
 	for until := time.Now().Add(startWait); time.Now().Before(until); {
@@ -93,7 +101,7 @@
 	p.mu.Lock()
 	targets := p.group.In(time.Now(), p.s.settings.Zone)
 	p.mu.Unlock()
-	if len(targets) == 0 || changes.Revision <= base || !p.s.settings.readOptions().Shares() {
+	if len(targets) == 0 || changes.Revision <= base || !p.s.readOptions.Load().Shares() {
 		return
 	}
 	for _, update := range p.s.updates(base, changes) {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -56,6 +56,8 @@
 	store       *platform.Store
 	table       atomic.Pointer[routes.Table]
 	stopping    atomic.Pointer[time.Time] // when the notice to stop came
+	// readOptions say how this entry takes part in reading the store.
+	readOptions atomic.Pointer[peering.ReadOptions]
 	connections connections
 	peers       *peerExchange
 	tomb        *tomb.Tomb
@@ -128,8 +130,8 @@
 	s.orders = &http.Client{Transport: newTransport()}
 	s.store = platform.NewStore(settings.Store, storeClient(), storeTimeout)
 	group := peering.New(settings.PeerAddress, settings.Zone, s.incarnation, settings.Seeds)
-	group.SetReading(settings.readOptions())
 	s.peers = newPeerExchange(s, group)
+	s.setReading(settings.readOptions())
 	return s
 }
 
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -80,12 +80,10 @@
 	}
 }
 
-// changeLimit is how soon any change of the platform has to be in force.
-func (s *Settings) changeLimit() time.Duration { return min(s.ApplyLimit.D(), s.DrainLimit.D()) }
-
-// readOptions say how this entry takes part in reading the store.
+// readOptions say how this entry takes part in reading the store: any change there has to
+// be in force within the shorter of the limits.
 func (s *Settings) readOptions() peering.ReadOptions {
-	return peering.ReadOptions{Capacity: int(s.LinkMbps), Limit: s.changeLimit()}
+	return peering.ReadOptions{Capacity: int(s.LinkMbps), Limit: min(s.ApplyLimit.D(), s.DrainLimit.D())}
 }
 
 // Bounds on the daemon's connections and waits.
--- a/entry/gateway/settingsloop.go
+++ b/entry/gateway/settingsloop.go
@@ -76,5 +76,6 @@
 	s.budgets = map[string]*execution.RetryBudget{}
 	s.mu.Unlock()
 	s.peers.seed(settings.Seeds)
+	s.setReading(settings.readOptions())
 	s.log.WithFields(logrus.Fields{"seeds": settings.Seeds, "level": settings.LogLevel}).Info("settings reloaded")
 }
--- a/entry/gateway/silence_test.go
+++ b/entry/gateway/silence_test.go
@@ -15,7 +15,9 @@
 	"golang.org/x/sys/unix"
 
 	"arbutusdeck/core/audit"
+	"arbutusdeck/core/config"
 	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
 )
@@ -90,6 +92,26 @@
 	w.eventually("a later good change is in force", func() bool { return ratio() == 0.4 })
 }
 
+// The operators shorten the time in which changes have to be in force. An entry that went on
+// relying on others to read the store would hear of a dead reader too late.
+func TestAChangedLimitChangesWhoReadsTheStore(t *testing.T) {
+	settings := newWorld(t).settings()
+	path := filepath.Join(t.TempDir(), "entry.yaml")
+	write := func(limit time.Duration) {
+		settings.ApplyLimit, settings.DrainLimit = config.Duration(limit), config.Duration(limit)
+		content, err := yaml.Marshal(settings)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, content, 0o600))
+	}
+	write(4 * time.Second)
+	s := New(Options{Settings: settings, SettingsPath: path, Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
+	require.True(t, s.readOptions.Load().Shares())
+	write(2 * time.Second)
+	s.reload()
+	require.False(t, s.readOptions.Load().Shares())
+	require.True(t, s.peers.shouldRead(time.Now(), peering.StoreState{Lost: true}))
+}
+
 // The host was suspended for three seconds. What was booked is over by now, or has gone
 // on without this process; choices must not rest on it.
 func TestASuspendedHostForgetsLoads(t *testing.T) {
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -72,6 +72,8 @@
 	{"a first event ends the pause", "core/placement/trust.go", "		t.misses, t.until = 0, time.Time{}\n	}\n}", "	}\n}", placementPkg, "TestAFirstEventShows"},
 	{"an event of before shows nothing", "core/placement/trust.go", "	if began.After(t.missedAt) {", "	if true {", placementPkg, "TestAFirstEventShows"},
 	{"a found neighbour is greeted", "entry/gateway/peers.go", "		p.hello(sender.Found)\n", "", gatewayPkg, "TestAFoundNeighbour"},
+	{"a changed limit changes who reads", "entry/gateway/settingsloop.go", "	s.setReading(settings.readOptions())\n", "", gatewayPkg, "TestAChangedLimit"},
+	{"long lists are told in parts", "core/peering/beats.go", "const maxMembers = 60", "const maxMembers = 6000", peeringPkg, "TestAListOfHundreds"},
 	{"seeds are kept", "core/peering/group.go", "		if slices.Contains(g.seeds, address) {\n			continue\n		}\n", "", peeringPkg, "TestTheSize"},
 	{"pauses of answers count", "core/placement/choose.go", "c.loss + b.harm(c, slowed)", "c.loss", placementPkg, "TestPartsKeepAwayFromShort"},
 	{"waiting reads count", "core/placement/choose.go", "			helper += b.delayLoss(now, c, slowed)", "			helper += 0 * b.delayLoss(now, c, slowed)", placementPkg, "TestPartsKeepAwayFromPrompts"},
