--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -5,74 +5,9 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 )
 
-// Server is one start of a backend server. A restarted server is another one, also
-// where it keeps its identifier.
-type Server struct {
-	ID string `json:"id" cbor:"1,keyasint,omitempty"`
-	// Born is the start's birth by the server's own clock, in Unix milliseconds; 0 if
-	// the server doesn't tell it.
-	Born    int64  `json:"born,omitempty" cbor:"2,keyasint,omitempty"`
-	Service string `json:"service" cbor:"3,keyasint,omitempty"`
-	Address string `json:"address" cbor:"4,keyasint,omitempty"`
-	Zone    string `json:"zone" cbor:"5,keyasint,omitempty"`
-	Slots   int    `json:"slots" cbor:"6,keyasint,omitempty"`
-	// Leaving says that the server takes no new work.
-	Leaving bool `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
-	// SlowFor is how much longer the server is slow after its start.
-	SlowFor time.Duration `json:"slowFor,omitempty" cbor:"8,keyasint,omitempty"`
-	// Revision is the platform's revision of the row.
-	Revision uint64 `json:"revision" cbor:"9,keyasint,omitempty"`
-	// start is the name of the start, kept so that a choice need not build it.
-	start string
-}
-
-// Start names this start of the server: its identifier, and its birth if it is told.
-// What is believed of a server (load, memory, failures, leaving) hangs on this name, so
-// that nothing of a start that has died counts for the next one under its identifier.
-func (s Server) Start() string {
-	switch {
-	case s.start != "":
-		return s.start
-	case s.Born == 0:
-		return s.ID
-	}
-	return s.ID + birthMark + strconv.FormatInt(s.Born, birthBase)
-}
-
-const (
-	// birthMark separates identifier and birth in the name of a start.
-	birthMark = "@"
-	// birthBase writes the birth in as few letters as the library can.
-	birthBase = 36
-)
-
-// parseStart is the reverse of Start; born is 0 if the name has none.
-func parseStart(start string) (id string, born int64) {
-	id, mark, found := strings.Cut(start, birthMark)
-	if !found {
-		return start, 0
-	}
-	born, err := strconv.ParseInt(mark, birthBase, 64)
-	if err != nil {
-		return start, 0
-	}
-	return id, born
-}
-
-// Starts returns the names of servers' starts, in their order.
-func Starts(servers []Server) []string {
-	starts := make([]string, 0, len(servers))
-	for _, server := range servers {
-		starts = append(starts, server.Start())
-	}
-	return starts
-}
-
 // Gone is a server that has left, by its identifier and the revision at which it did.
 type Gone struct {
 	ID       string `cbor:"1,keyasint,omitempty"`
--- a/entry/gateway/crossing.go
+++ b/entry/gateway/crossing.go
@@ -23,8 +23,8 @@
 	askPause = 500 * time.Millisecond
 )
 
-// asked is a question to another zone that waits for its answer.
-type asked chan peering.Place
+// placeAnswer brings the answer to a question for a place.
+type placeAnswer chan peering.Place
 
 // place finds a server for the request, in this zone or in one with more room.
 func (e *exchange) place(ctx context.Context, now time.Time) (placement.Choice, placement.Refusal) {
@@ -122,7 +122,7 @@
 // askFor sends a question and waits for its answer. A place that is not heard of in time is
 // given back: the one asked has it in its book.
 func (p *peerExchange) askFor(ctx context.Context, address string, question peering.Ask) peering.Place {
-	answer := make(asked, 1)
+	answer := make(placeAnswer, 1)
 	id := question.Dispatch.ID
 	p.mu.Lock()
 	p.asked[id] = answer
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -47,7 +47,7 @@
 	// behind says that a look at what others know is due.
 	behind bool
 	// asked are the questions to other zones that wait for their answers, by their tries.
-	asked map[string]asked
+	asked map[string]placeAnswer
 
 	// silent are the entries that were not heard at the last heartbeat.
 	silent []string
@@ -58,7 +58,7 @@
 }
 
 func newPeerExchange(s *Server, group *peering.Group) *peerExchange {
-	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), addresses: map[string]net.Addr{}, asked: map[string]asked{}}
+	return &peerExchange{s: s, group: group, dialer: wire.NewDialer("", peerDialTimeout), addresses: map[string]net.Addr{}, asked: map[string]placeAnswer{}}
 }
 
 func (p *peerExchange) router() http.Handler {
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -204,19 +204,26 @@
 		s.adopt(changes.Configuration, source)
 	}
 	s.mu.Lock()
-	noted := s.reject(changes.Rejected)
-	for _, server := range changes.Servers {
+	noted := append(s.reject(changes.Rejected), s.takeRows(changes.Servers, changes.Removed)...)
+	s.mu.Unlock()
+	s.noteServers(noted, source)
+}
+
+// takeRows takes in rows and removals one by one; each goes by its own revision. The caller
+// holds the lock.
+func (s *Server) takeRows(servers []directory.Server, gone []directory.Gone) []directory.Change {
+	var noted []directory.Change
+	for _, server := range servers {
 		if change, ok := s.directory.Upsert(server); ok {
 			noted = append(noted, change)
 		}
 	}
-	for _, removal := range changes.Removed {
-		if change, ok := s.directory.Remove(removal.ID, removal.Revision); ok {
+	for _, left := range gone {
+		if change, ok := s.directory.Remove(left.ID, left.Revision); ok {
 			noted = append(noted, change)
 		}
 	}
-	s.mu.Unlock()
-	s.noteServers(noted, source)
+	return noted
 }
 
 // logRejected writes one line for all rows of a response that can't be read: whoever
--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -146,21 +146,11 @@
 	return slices.Compact(ids)
 }
 
-// takeUpdate brings what a reader of the store told into force. Each row has a revision of
-// its own and may come in any order; the position moves only where nothing is missing.
+// takeUpdate brings what a reader of the store told into force. The rows may come in any
+// order; the position moves only where nothing is missing.
 func (s *Server) takeUpdate(update peering.Update, from string) {
-	var noted []directory.Change
 	s.mu.Lock()
-	for _, server := range update.Servers {
-		if change, ok := s.directory.Upsert(server); ok {
-			noted = append(noted, change)
-		}
-	}
-	for _, gone := range update.Gone {
-		if change, ok := s.directory.Remove(gone.ID, gone.Revision); ok {
-			noted = append(noted, change)
-		}
-	}
+	noted := s.takeRows(update.Servers, update.Gone)
 	if s.revision != 0 && update.Base <= s.revision {
 		s.revision = max(s.revision, update.Upto)
 	}
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -75,10 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.Servers, v.Revision = s.directory.All(), s.revision
-	v.Left = map[string]uint64{}
-	for id, revision := range s.directory.Left() {
-		v.Left[id] = revision
-	}
+	v.Left = s.directory.Left()
 	return v
 }
 
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -29,7 +29,7 @@
 	{"leaving outlives the row", "core/directory/directory.go", "		left.born, left.leaving = known.Born, known.Leaving\n", "", directoryPkg, "TestAStartThatLeaves"},
 	{"a row without a birth is another writer's", "core/directory/directory.go", "	case d.LacksBirth(server):", "	case false:", directoryPkg, "TestARowThatCanNotBeRead"},
 	{"news of a dead start count for nobody", "core/directory/directory.go", "	if !ok || born != 0 && born < server.Born {", "	if !ok || born < 0 {", directoryPkg, "TestNamesOfStarts"},
-	{"a start has a name of its own", "core/directory/directory.go", "	return s.ID + birthMark + strconv.FormatInt(s.Born, birthBase)", "	return s.ID", gatewayPkg, "TestWorkOfADeadStart"},
+	{"a start has a name of its own", "core/directory/start.go", "	return s.ID + birthMark + strconv.FormatInt(s.Born, birthBase)", "	return s.ID", gatewayPkg, "TestWorkOfADeadStart"},
 	{"no renewal at a new start", "entry/gateway/reservation.go", "!first && r.s.superseded(h.server)", "false", gatewayPkg, "TestAReservationIsNotRenewed"},
 	{"a view without births takes nobody away", "entry/gateway/view.go", "		if s.directory.LacksBirth(server) {", "		if false {", gatewayPkg, "TestAPeersView"},
 	{"a row that can't be read takes the server out", "entry/gateway/platformloop.go", "		if rejection.Server == \"\" {", "		if true {", gatewayPkg, "TestARowOfAnotherWriter"},
