Let a reader of the store rest on its own watch

Cause, found by reading: an update of another reader moved a reader's position; between two of its watches it would pass over a configuration that was written before that position, and if the other one died before anyone had fetched it, nobody would learn of it until the next change.

--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -147,11 +147,13 @@
 }
 
 // takeUpdate brings what a reader of the store told into force. The rows may come in any
-// order; the position moves only where nothing is missing.
+// order; the position moves only where nothing is missing, and never that of a reader: its
+// next watch from there would pass over a configuration that the update does not hold, and
+// if the entry that told of it dies, nobody would learn of that configuration.
 func (s *Server) takeUpdate(update peering.Update, from string) {
 	s.mu.Lock()
 	noted := s.takeRows(update.Servers, update.Gone)
-	if s.revision != 0 && update.Base <= s.revision {
+	if !s.reading && s.revision != 0 && update.Base <= s.revision {
 		s.revision = max(s.revision, update.Upto)
 	}
 	s.mu.Unlock()
--- a/entry/gateway/readers_test.go
+++ b/entry/gateway/readers_test.go
@@ -7,10 +7,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/audit"
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
+	"arbutusdeck/core/process"
 	"arbutusdeck/platform"
 	"arbutusdeck/platform/standin"
 )
@@ -79,19 +81,22 @@
 // to the later revision: it fetches the reader's view when it hears of that revision.
 func TestALostUpdateIsNoticed(t *testing.T) {
 	w := newWorld(t)
-	w.configure(nil)
-	w.worker("i-1", "plain", nil)
-	s := w.serve()
-	revision := s.position()
-	row := directory.Server{ID: "i-3", Service: "plain", Address: "127.0.0.1:1", Zone: "here", Slots: 1, Revision: revision + 3}
-	s.takeUpdate(peering.Update{Base: revision + 2, Upto: revision + 3, Servers: []directory.Server{row}}, "peer")
-	require.Equal(t, revision, s.position())
+	s := New(Options{Settings: w.settings(), Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)}) // not started
+	row := func(id string, revision uint64) directory.Server {
+		return directory.Server{ID: id, Service: "plain", Address: "127.0.0.1:1", Zone: "here", Slots: 1, Revision: revision}
+	}
+	s.replaceServers(platform.Changes{Revision: 10, Servers: []directory.Server{row("i-1", 9)}}, false)
+	s.takeUpdate(peering.Update{Base: 12, Upto: 13, Servers: []directory.Server{row("i-3", 13)}}, "peer")
+	require.EqualValues(t, 10, s.position())
 	require.Len(t, w.available(s, "plain"), 2, "what was told is true all the same")
-	s.takeUpdate(peering.Update{Base: revision, Upto: revision + 2, Gone: []directory.Gone{{ID: "i-1", Revision: revision + 1}}}, "peer")
-	require.Equal(t, revision+2, s.position())
+	s.takeUpdate(peering.Update{Base: 10, Upto: 12, Gone: []directory.Gone{{ID: "i-1", Revision: 11}}}, "peer")
+	require.EqualValues(t, 12, s.position())
 	require.Len(t, w.available(s, "plain"), 1)
-	s.takeUpdate(peering.Update{Base: revision + 2, Upto: revision + 3}, "peer")
-	require.Equal(t, revision+3, s.position())
+	s.takeUpdate(peering.Update{Base: 12, Upto: 13}, "peer")
+	require.EqualValues(t, 13, s.position())
+	s.reading = true
+	s.takeUpdate(peering.Update{Base: 13, Upto: 14}, "peer")
+	require.EqualValues(t, 13, s.position(), "a reader of the store rests on its own watch: the update holds no configuration")
 }
 
 // Many rows change at once. They go out in parts that fit a packet, and each part begins
