Give a place back whose memory is refused, and serve a second try at once without own servers

Causes, found by reading: a prompt that another zone had placed stayed in that entry's book for its whole time if its reservations were refused; a second try within half a second of a question was refused though other zones had servers.

--- a/entry/gateway/crossing.go
+++ b/entry/gateway/crossing.go
@@ -29,12 +29,9 @@
 // place finds a server for the request, in this zone or in one with more room.
 func (e *exchange) place(ctx context.Context, now time.Time) (placement.Choice, placement.Refusal) {
 	choice, refusal := e.choose(now)
-	if !e.mayCross(now, choice, refusal) {
-		return choice, refusal
-	}
-	e.askedAt = now
-	if address, ok := e.s.roomElsewhere(now, e.service.Name); ok {
-		if far, ok := e.ask(ctx, address); ok {
+	if e.mayCross(now, choice, refusal) {
+		e.askedAt = now
+		if far, ok := e.askElsewhere(ctx, now); ok {
 			return far, ""
 		}
 	}
@@ -45,6 +42,16 @@
 	return choice, refusal
 }
 
+// askElsewhere asks for a place in the zone with the most room, if that is clearly more than
+// here.
+func (e *exchange) askElsewhere(ctx context.Context, now time.Time) (placement.Choice, bool) {
+	address, ok := e.s.roomElsewhere(now, e.service.Name)
+	if !ok {
+		return placement.Choice{}, false
+	}
+	return e.ask(ctx, address)
+}
+
 // mayCross says whether the own zone has no good place for the request.
 func (e *exchange) mayCross(now time.Time, choice placement.Choice, refusal placement.Refusal) bool {
 	if e.service.Engine == nil || now.Sub(e.askedAt) < askPause {
--- a/entry/gateway/crossing_test.go
+++ b/entry/gateway/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,18 +145,50 @@
 	require.True(t, there.booked(0)())
 }
 
+// The servers of another zone that were named for a prompt refuse its reservations. The entry
+// that named them has the prompt in its book, though it was never sent.
+func TestAPlaceWhoseMemoryIsRefusedIsGivenBack(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	for _, worker := range w.workers[serversOfAZone:] {
+		worker.Memory = 1000
+	}
+	losesServers(here)
+	w.eventually("the other zone's room is heard", func() bool {
+		_, ok := here.roomElsewhere(time.Now(), "engines")
+		return ok
+	})
+	losesServers(here)
+	require.NotEqual(t, 200, w.call(here, http.MethodPost, "/stream/", 400_000, "x").status)
+	require.Positive(t, here.counters.crossed.Count())
+	require.Eventually(t, there.booked(0), 5*time.Second, 5*time.Millisecond, "well before the prompt's time is over")
+}
+
 // Nobody of another zone can be asked. A server there whose work is not known is better than
-// a refusal.
+// a refusal, also for a second try at once.
 func TestWithoutServersAndNeighboursAnyServerServes(t *testing.T) {
 	w := newWorld(t)
 	w.configure(nil)
 	w.zonesOfServers("here", "there", "yonder")
 	here := w.serve()
+	var runs atomic.Int32
+	for _, worker := range w.workers {
+		script := worker.Script
+		worker.Script = func(out http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			script(out, r)
+		}
+	}
 	for _, worker := range w.workers[:serversOfAZone] {
 		key, _ := worker.Row("")
 		w.store.Remove(key)
 	}
 	w.eventually("the zone's servers are gone", func() bool { return len(w.available(here, "engines")) == 2*serversOfAZone })
 	require.Equal(t, 200, w.call(here, http.MethodPost, "/stream/", 2000, "x").status)
+	require.EqualValues(t, 2, runs.Load())
 	require.Zero(t, w.runsIn("here"))
 }
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -62,6 +62,8 @@
 	dispatch := e.dispatch(choice)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
 	if err != nil {
+		// Another zone's entry that gave the place has it in its book.
+		e.s.bookEnd(booking{id: dispatch.ID, far: e.s.peers.farZones(choice)})
 		return e.ended(ctx, server.Start(), execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
 	}
 	defer func() {
