Merge what stood twice in choices, store readers and crossings

Behaviour is unchanged: - 'left alone' is one method of trust (it stood in choose.go, room.go, trust.go five times); - what a new read waits for (backlog and stall) is one method of a server (assess, Room); - the age of a member's knowledge is one method (Staleness, FreshReader); - crossings take servers from serversFor, as choices do, and a service of the configuration from one function (it stood in crossing.go and platformloop.go); - a request of an undivided service no longer counts room that is thrown away; - the comment of Group.In said 'another zone', though updates use it for the own one.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -246,7 +246,7 @@
 	return g.pick(func(m *member) bool { return g.isNear(m) && m.isHeard(now) })
 }
 
-// In returns the members of another zone that run, by their own word or by that of their
+// In returns the members of a zone that run, by their own word or by that of their
 // neighbours.
 func (g *Group) In(now time.Time, zone string) []string {
 	return g.pick(func(m *member) bool { return m.zone == zone && m.runs(now) })
--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -110,13 +110,16 @@
 // noKnowledge is the staleness where no reader is heard.
 const noKnowledge = time.Hour
 
+// staleness is how old a member's knowledge of the store is by now, as it told of it.
+func (m *member) staleness(now time.Time) time.Duration { return m.store.Age + now.Sub(m.heard) }
+
 // Staleness is how old the freshest knowledge of the store is that another entry of this
 // zone has told of.
 func (g *Group) Staleness(now time.Time) time.Duration {
 	freshest := noKnowledge
 	for _, m := range g.members {
 		if m.zone == g.zone && m.store.Reads && !m.heard.IsZero() {
-			freshest = min(freshest, m.store.Age+now.Sub(m.heard))
+			freshest = min(freshest, m.staleness(now))
 		}
 	}
 	return freshest
@@ -133,7 +136,7 @@
 		return "", false
 	}
 	fresh := g.pick(func(m *member) bool {
-		return m.zone == g.zone && m.isHeard(now) && m.store.Reads && !m.serving.IsZero() && m.store.Age+now.Sub(m.heard) <= g.reading.staleAfter()
+		return m.zone == g.zone && m.isHeard(now) && m.store.Reads && !m.serving.IsZero() && m.staleness(now) <= g.reading.staleAfter()
 	})
 	if len(fresh) == 0 {
 		return "", false
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -193,7 +193,7 @@
 		c := &all[i]
 		b.assess(now, q, listed, c)
 		found = append(found, c)
-		if !now.Before(c.state.trust.until) {
+		if !c.state.trust.isLeftAlone(now) {
 			reachable = append(reachable, c)
 		}
 	}
@@ -224,7 +224,7 @@
 	if q.Engine == nil {
 		return
 	}
-	c.backlogMs, c.batch = s.backlogMs()+s.stall(now).Seconds()*msPerSecond, s.batch()
+	c.backlogMs, c.batch = s.waitingMs(now), s.batch()
 	c.free = int64(b.options.MemoryShare*float64(q.Engine.MemoryTokens)) - s.memoryUsed()
 	if c.batch.Answers > 0 {
 		c.passMs = q.Engine.PassMs(c.batch) * s.trust.slowness()
@@ -263,7 +263,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Unreachable: now.Before(chosen[0].state.trust.until), Held: held,
+	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Unreachable: chosen[0].state.trust.isLeftAlone(now), Held: held,
 		others: others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
 	slowest := 0.0
 	for _, c := range chosen {
@@ -373,7 +373,7 @@
 			best, lowest = c, loss
 		}
 	}
-	return Choice{Server: best.Server, Known: best.known(now), Unreachable: now.Before(best.state.trust.until), Loss: lowest}
+	return Choice{Server: best.Server, Known: best.known(now), Unreachable: best.state.trust.isLeftAlone(now), Loss: lowest}
 }
 
 // At returns the server that reads a part: 0 is Server, then the helpers.
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -18,7 +18,7 @@
 		s := b.server(listed.Start(), engine)
 		s.advance(now)
 		free := float64(s.requests()) < b.options.PackShare*float64(engine.Slots)
-		if free && !now.Before(s.trust.until) && s.backlogMs()+s.stall(now).Seconds()*msPerSecond < busyMs {
+		if free && !s.trust.isLeftAlone(now) && s.waitingMs(now) < busyMs {
 			count++
 		}
 	}
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -55,6 +55,11 @@
 	return max(overdue-expected, 0) * (stallFactor - 1)
 }
 
+// waitingMs is what a new read waits for: the backlog by the book, and the stall.
+func (s *server) waitingMs(now time.Time) float64 {
+	return s.backlogMs() + s.stall(now).Seconds()*msPerSecond
+}
+
 // MoveInterval is how often a request without a first event is looked at again after
 // MoveCheck. A look costs one choice, and a stall shows within tens of milliseconds.
 const MoveInterval = 50 * time.Millisecond
--- a/core/placement/trust.go
+++ b/core/placement/trust.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// isLeftAlone says whether the server gets nothing for now, since it took no requests lately.
+func (t *trust) isLeftAlone(now time.Time) bool { return now.Before(t.until) }
+
 func (t *trust) slowness() float64 {
 	if t.pace < 1 {
 		return 1
@@ -114,7 +117,7 @@
 // all tell of it.
 func (b *Book) UnreachableFrom(now time.Time, id string, draw float64) {
 	s := b.server(id, nil)
-	if now.Before(s.trust.until) {
+	if s.trust.isLeftAlone(now) {
 		return
 	}
 	s.trust.unreachable(now, draw)
--- a/entry/gateway/crossing.go
+++ b/entry/gateway/crossing.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"arbutusdeck/core/directory"
-	"arbutusdeck/core/enginemodel"
 	"arbutusdeck/core/parts"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
+	"arbutusdeck/core/routes"
 )
 
 // Entries that keep to their zone's servers know nothing of what other zones' servers do.
@@ -62,9 +62,7 @@
 
 // roomElsewhere returns an entry of another zone that has clearly more room than this one.
 func (s *Server) roomElsewhere(now time.Time, service string) (string, bool) {
-	s.mu.Lock()
-	divided, own := s.isDivided(service), s.room(now, service)
-	s.mu.Unlock()
+	own, divided := s.ownRoom(now, service)
 	if !divided {
 		return "", false
 	}
@@ -74,23 +72,33 @@
 	return address, ok && parts.Crosses(own, other)
 }
 
-// room is the share of this zone's servers of a service that could begin a short prompt; the
-// caller holds the lock.
-func (s *Server) room(now time.Time, service string) float64 {
-	engine := s.engineOfService(service)
-	return s.book.Room(now, s.directory.AvailableIn(service, s.settings.Zone), engine)
+// ownRoom is the room in this zone; false if the service is not divided.
+func (s *Server) ownRoom(now time.Time, service string) (float64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isDivided(service) {
+		return 0, false
+	}
+	return s.room(now, service), true
+}
+
+// room is the share of the servers of a divided service that could begin a short prompt, of
+// those in this zone; the caller holds the lock.
+func (s *Server) room(now time.Time, name string) float64 {
+	service := s.service(name)
+	if service == nil {
+		return 0
+	}
+	return s.book.Room(now, s.serversFor(service), service.Engine)
 }
 
-func (s *Server) engineOfService(name string) *enginemodel.Engine {
+// service returns a service of the configuration in force, or nil.
+func (s *Server) service(name string) *routes.Service {
 	table := s.table.Load()
 	if table == nil {
 		return nil
 	}
-	service := table.Service(name)
-	if service == nil {
-		return nil
-	}
-	return service.Engine
+	return table.Service(name)
 }
 
 // tellRoom is the room that heartbeats to other zones tell: that of the engine service with
@@ -186,16 +194,16 @@
 	place := peering.Place{ID: ask.Dispatch.ID}
 	d := ask.Dispatch
 	s.mu.Lock()
-	engine := s.engineOfService(ask.Service)
-	if engine != nil && s.isDivided(ask.Service) {
-		query := placement.Query{Engine: engine, Exclude: ask.Exclude, PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens, Gap: d.Gap,
+	service := s.service(ask.Service)
+	if service != nil && service.Engine != nil && s.isDivided(ask.Service) {
+		query := placement.Query{Engine: service.Engine, Exclude: ask.Exclude, PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens, Gap: d.Gap,
 			Tie: s.random.Float64(), Target: d.Target, Remaining: ask.Remaining, HoldLimit: unusedLimit(s.settings.ReservationIdle.D()),
-			Servers: s.directory.AvailableIn(ask.Service, s.settings.Zone)}
+			Servers: s.serversFor(service)}
 		choice, refusal := s.book.Choose(now, query)
 		if refusal == "" && choice.Wait == 0 {
 			place.Server, place.Helpers, place.Held, place.Predicted = choice.Server.Start(), directory.Starts(choice.Helpers), choice.Held, choice.Predicted
 			d.Server, d.Helpers, d.Held = place.Server, place.Helpers, place.Held
-			s.book.BeginFrom(now, from, d, engine)
+			s.book.BeginFrom(now, from, d, service.Engine)
 		}
 	}
 	s.mu.Unlock()
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -302,11 +302,10 @@
 // for a plain service. The caller holds the lock.
 func (s *Server) engineOf(start string) (*enginemodel.Engine, bool) {
 	server, ok := s.directory.Lookup(start)
-	table := s.table.Load()
-	if !ok || table == nil {
+	if !ok {
 		return nil, false
 	}
-	service := table.Service(server.Service)
+	service := s.service(server.Service)
 	if service == nil {
 		return nil, false
 	}
