--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -68,7 +68,7 @@
 	{"many entries divide fewer servers", "core/parts/division.go", "min(max(mostNeeded*fewEntries/float64(max(entries, 1)), leastNeeded), mostNeeded)", "float64(mostNeeded + 0*entries)", "arbutusdeck/core/parts", "TestManyEntries"},
 	{"a server that takes nothing is told of", "entry/gateway/book.go", "	s.peers.tell(booking{}, func(m *peering.Message) { m.Unreachable = append(m.Unreachable, server) })\n", "	_ = func(m *peering.Message) { m.Unreachable = append(m.Unreachable, server) }\n", gatewayPkg, "TestAServerThatOneEntryFinds"},
 	{"entries try a server again by themselves", "core/placement/trust.go", "(1 - unreachableSpread + 2*unreachableSpread*draw)", "(1 + 0*draw)", placementPkg, "TestEntriesTellOfAServer"},
-	{"what others met at the same moment adds nothing", "core/placement/trust.go", "	if now.Before(s.trust.until) {\n		return\n	}\n", "", placementPkg, "TestEntriesTellOfAServer"},
+	{"what others met at the same moment adds nothing", "core/placement/trust.go", "	if s.trust.isLeftAlone(now) {\n		return\n	}\n", "", placementPkg, "TestEntriesTellOfAServer"},
 	{"a first event ends the pause", "core/placement/trust.go", "		t.misses, t.until = 0, time.Time{}\n	}\n}", "	}\n}", placementPkg, "TestAFirstEventShows"},
 	{"an event of before shows nothing", "core/placement/trust.go", "	if began.After(t.missedAt) {", "	if true {", placementPkg, "TestAFirstEventShows"},
 	{"a found neighbour is greeted", "entry/gateway/peers.go", "		p.hello(sender.Found)\n", "", gatewayPkg, "TestAFoundNeighbour"},
