Forget the division of services that leave the configuration

Cause, found in the last read of the change: the state of the division stood twice, and the map that choices use kept services for good. - A service with few servers joins and leaves again: its 'not divided' stays, nothing counts as changed, and all entries go on telling each other across zones of each request, until the servers of another service change. - A divided service leaves: the room that is told to other zones is the least of all services, and that of a service that is no more counts as 0. Other zones then never send this one their requests. - Beside it: two loops could divide at once and bring their results to the group of entries in the wrong order; it is set under the lock now, also when nothing has changed.

Change: one map, made anew from the configuration at each look, and what choices, room and log use is derived from it.

Nothing else changes: a configuration with the same engine services takes the same path as before.

--- a/core/parts/division.go
+++ b/core/parts/division.go
@@ -48,6 +48,9 @@
 	return d.divided
 }
 
+// Divided returns whether the servers were divided at the last update.
+func (d Division) Divided() bool { return d.divided }
+
 // needed is how many servers make a zone a part by itself.
 func needed(entries int) float64 {
 	return min(max(mostNeeded*fewEntries/float64(max(entries, 1)), leastNeeded), mostNeeded)
--- a/entry/gateway/crossing.go
+++ b/entry/gateway/crossing.go
@@ -107,10 +107,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	least := 1.0
-	for service, divided := range s.divided {
-		if divided {
-			least = min(least, s.room(now, service))
-		}
+	for _, service := range s.dividedServices() {
+		least = min(least, s.room(now, service))
 	}
 	return least
 }
--- a/entry/gateway/crossing_test.go
+++ b/entry/gateway/crossing_test.go
@@ -92,6 +92,49 @@
 	require.True(t, there.booked(0)(), "entries of other zones are not told")
 }
 
+// A service with too few servers to be divided joins the configuration and leaves it again.
+// Entries that all keep to their zone would otherwise go on telling all others of each of
+// their requests, until the servers of another service change.
+func TestAServiceThatLeavesEndsItsShareOfTheDivision(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, _ := w.twoZones()
+	divided := func() bool {
+		here.peers.mu.Lock()
+		defer here.peers.mu.Unlock()
+		return here.peers.group.Divided()
+	}
+	w.configure(standin.AddEngineService("small"))
+	w.eventually("the small service keeps the entries from it", func() bool { return w.known(here) && !divided() })
+	w.configure(nil)
+	w.eventually("the small service has left", func() bool { return w.known(here) })
+	w.eventually("all engine services are divided again", divided)
+}
+
+// A divided service leaves the configuration, its servers have not yet. Other zones would
+// hear for good that this one has no room, and send it none of their requests.
+func TestAServiceThatLeavesTakesNoRoom(t *testing.T) {
+	w := newWorld(t)
+	w.configure(standin.AddEngineService("second"))
+	w.zonesOfServers("here", "there")
+	for _, zone := range []string{"here", "there"} {
+		for i := range serversOfAZone {
+			worker := standin.NewWorker(fmt.Sprintf("%s-second-%02d", zone, i), "second")
+			t.Cleanup(worker.Close)
+			key, row := worker.Row("ready")
+			row["Zone"] = zone
+			w.store.Put(key, row)
+			w.workers = append(w.workers, worker)
+		}
+	}
+	here, _ := w.twoZones()
+	require.EqualValues(t, 1, here.tellRoom(time.Now()))
+	w.configure(nil)
+	w.eventually("the second service has left", func() bool { return w.known(here) })
+	w.eventually("the room is that of the other service", func() bool { return here.tellRoom(time.Now()) == 1 })
+}
+
 // All servers of a zone are down. Its callers would be refused while the other zone's servers
 // are idle. An entry there is asked, places the requests among servers that it knows, and has
 // them in its book as long as they last.
--- a/entry/gateway/division.go
+++ b/entry/gateway/division.go
@@ -2,51 +2,55 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"arbutusdeck/core/parts"
-	"arbutusdeck/core/routes"
 )
 
 // isDivided says whether entries keep to their zone's servers of a service; the caller
 // holds the lock.
-func (s *Server) isDivided(service string) bool { return s.divided[service] }
+func (s *Server) isDivided(service string) bool { return s.divisions[service].Divided() }
+
+// dividedServices returns the names of the services that are divided, in a fixed order; the
+// caller holds the lock.
+func (s *Server) dividedServices() []string {
+	names := slices.Sorted(maps.Keys(s.divisions))
+	return slices.DeleteFunc(names, func(name string) bool { return !s.isDivided(name) })
+}
 
 // divide looks anew whether the servers of each engine service are divided by zone, after
-// the configuration, the servers or the entries have changed. Entries tell each other of requests within
-// their zone only if that holds for every such service.
+// the configuration, the servers or the entries have changed.
 func (s *Server) divide() {
+	s.mu.Lock()
+	before := s.dividedServices()
+	s.updateDivisions()
+	after := s.dividedServices()
+	// Entries tell each other of requests within their zone only if all services are divided.
+	s.peers.divide(len(after) > 0 && len(after) == len(s.divisions))
+	s.mu.Unlock()
+	if !slices.Equal(before, after) {
+		s.log.WithFields(logrus.Fields{"from": before, "to": after}).Info("the division of the servers by zone has changed")
+	}
+}
+
+// updateDivisions takes in the servers and entries that there are now, and drops services
+// that have left the configuration; the caller holds the lock.
+func (s *Server) updateDivisions() {
 	table := s.table.Load()
 	if table == nil {
 		return
 	}
 	entries := s.peers.size()
-	s.mu.Lock()
-	before := maps.Clone(s.divided)
-	engines, divided := 0, 0
+	divisions := map[string]parts.Division{}
 	for _, service := range table.Definition().Services {
 		if service.Engine == nil {
 			continue
 		}
-		engines++
-		s.divided[service.Name] = s.division(service).Update(s.directory.Zones(service.Name), entries)
-		if s.divided[service.Name] {
-			divided++
-		}
-	}
-	after := maps.Clone(s.divided)
-	s.mu.Unlock()
-	if maps.Equal(before, after) {
-		return
-	}
-	s.peers.divide(engines > 0 && divided == engines)
-	s.log.WithFields(logrus.Fields{"from": before, "to": after}).Info("the division of the servers by zone has changed")
-}
-
-func (s *Server) division(service routes.Service) *parts.Division {
-	if s.divisions[service.Name] == nil {
-		s.divisions[service.Name] = &parts.Division{}
+		division := s.divisions[service.Name]
+		division.Update(s.directory.Zones(service.Name), entries)
+		divisions[service.Name] = division
 	}
-	return s.divisions[service.Name]
+	s.divisions = divisions
 }
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -78,8 +78,7 @@
 	reading     bool
 	book        *placement.Book
 	// divisions tell for each engine service whether entries keep to their zone's servers.
-	divisions map[string]*parts.Division
-	divided   map[string]bool
+	divisions map[string]parts.Division
 	budgets   map[string]*execution.RetryBudget
 	random    *rand.Rand
 	pause     *membership.PauseDetector
@@ -119,8 +118,8 @@
 	s := &Server{
 		options: options, settings: settings, loaded: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), book: placement.NewBook(placement.DefaultOptions(settings.Zone)),
-		divisions: map[string]*parts.Division{}, divided: map[string]bool{},
-		budgets: map[string]*execution.RetryBudget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		divisions: map[string]parts.Division{},
+		budgets:   map[string]*execution.RetryBudget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pause: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
