Lines tell the same request in all its attempts, and whether the server of a broken try has ended

Cause looked for: between a request that ends the servers under which it runs and servers that end by themselves the lines could not decide. An attempt has a name of its own each time, and a broken answer looked alike whether its server had ended or not. Change: a try that its server broke off is told with the request's fingerprint (workspace, method, host, path with query, body), with the time for which an answer had come, and with whether the server's address refuses connections, which is asked at once. account names the requests under which most servers ended. Decisions are unchanged.

--- /dev/null
+++ b/core/quarantine/fingerprint_test.go
@@ -0,0 +1,30 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request is refused by its fingerprint alone. Another caller's request to the same path with
+// the same body, or one that differs in a single field, must have another one.
+func TestOnlyTheSameRequestOfTheSameCallerSharesAFingerprint(t *testing.T) {
+	body := []byte("prompt")
+	seen := map[Fingerprint]bool{FingerprintOf("press", "POST", "press.example", "/a?x=1", body): true}
+	for _, other := range []Fingerprint{
+		FingerprintOf("school", "POST", "press.example", "/a?x=1", body),
+		FingerprintOf("", "POST", "press.example", "/a?x=1", body),
+		FingerprintOf("press", "PUT", "press.example", "/a?x=1", body),
+		FingerprintOf("press", "POST", "school.example", "/a?x=1", body),
+		FingerprintOf("press", "POST", "press.example", "/a?x=2", body),
+		FingerprintOf("press", "POST", "press.example", "/a?x=1", []byte("prompt.")),
+		FingerprintOf("press", "POST", "press.example", "/a?x=1", nil),
+		// What one field ends with, the next one begins with.
+		FingerprintOf("pressP", "OST", "press.example", "/a?x=1", body),
+		FingerprintOf("press", "POST", "press.example", "/a?x=1p", []byte("rompt")),
+	} {
+		require.False(t, seen[other])
+		seen[other] = true
+	}
+	require.True(t, seen[FingerprintOf("press", "POST", "press.example", "/a?x=1", []byte("prompt"))])
+}
--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -98,13 +98,15 @@
 	under  map[Length]int
 	links  map[string]float64
 	places places
+	// endings are the requests under which servers ended.
+	endings endings
 }
 
 // New returns an empty account.
 func New() *Account {
 	return &Account{All: newTally(), ByRoute: map[string]*Tally{}, ByLength: map[Length]*Tally{}, Spans: map[int]*Span{}, Step: time.Second,
 		ByLink: map[float64]*Tally{}, ByLacked: map[int]*Tally{}, open: map[string]*history{}, under: map[Length]int{},
-		links: map[string]float64{}, places: places{}}
+		links: map[string]float64{}, places: places{}, endings: endings{}}
 }
 
 // Length is a class of prompts: those of up to 1,000 tokens times two to its power; -1
@@ -174,6 +176,8 @@
 		return a.closeEntry(line.Entry)
 	case messageChosen:
 		a.chosen(line)
+	case messageTried:
+		a.endings.tried(line)
 	case messageEnded:
 		return a.ended(line)
 	}
--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -188,3 +188,31 @@
 	require.Contains(t, table.String(), "20 Mbit/s")
 	require.Contains(t, table.String(), "200000")
 }
+
+// Servers end one after the other. Under one request, which comes in three attempts at two
+// entries, four of them ended, always before its first event; another one ran beside it twice
+// and had events. The table must name the first one first, and leave out what was there once.
+func TestRequestsUnderWhichServersEndAreNamed(t *testing.T) {
+	tried := func(at int, entry, request, fingerprint, server, rest string) string {
+		return fmt.Sprintf(`{"msg":"try ended","time":%q,"name":%q,"request":%q,"fingerprint":%q,"server":%q,"result":"broken"%s}`, stamp(at), entry, request,
+			fingerprint, server, rest) + "\n"
+	}
+	const ended = `,"serverEnded":true`
+	log := tried(0, "e1", "a1", "aa", "s1", ended) + tried(10, "e1", "b1", "bb", "s1", ended+`,"answerMs":700`) +
+		tried(100, "e1", "a1", "aa", "s2", ended) + tried(110, "e1", "b1", "bb", "s2", ended+`,"answerMs":20`) +
+		tried(120, "e1", "c1", "cc", "s2", ended) +
+		tried(200, "e2", "a2", "aa", "s3", ended) + tried(210, "e2", "a2", "aa", "s3", ended) +
+		tried(300, "e2", "a3", "aa", "s4", ended) + tried(400, "e2", "a3", "aa", "s5", `,"serverEnded":false`) +
+		endedLine(500, "e2", "a3", `"code":"connection_lost","outcome":"unknown"`)
+	a, bad := read(t, log)
+	require.Empty(t, bad)
+	endings := a.Endings()
+	require.Len(t, endings, 2)
+	require.Equal(t, []string{"aa", "bb"}, []string{endings[0].Fingerprint, endings[1].Fingerprint})
+	require.Equal(t, []int{4, 4, 3, 2}, []int{len(endings[0].Servers), len(endings[0].Before), len(endings[0].Attempts), len(endings[0].Entries)})
+	require.Equal(t, []int{2, 0}, []int{len(endings[1].Servers), len(endings[1].Before)})
+	var table strings.Builder
+	require.NoError(t, a.WriteTable(&table))
+	require.Contains(t, table.String(), "request under which servers ended")
+	require.Regexp(t, `aa +4 +4 +3 +2 +10:00:00 +10:00:00`, table.String())
+}
--- a/entry/account/lines.go
+++ b/entry/account/lines.go
@@ -42,12 +42,18 @@
 	// Code is empty for an answer of a server that tells of success.
 	Code    execution.Code `json:"code"`
 	Outcome string         `json:"outcome"`
+	// Fingerprint names a request in all its attempts, ServerEnded says that the server of a
+	// try was gone, and AnswerMs for how long an answer had come from it; nil if none had.
+	Fingerprint string   `json:"fingerprint"`
+	ServerEnded bool     `json:"serverEnded"`
+	AnswerMs    *float64 `json:"answerMs"`
 }
 
 // Messages that the account reads; all others are passed over.
 const (
 	messageStarted = "started"
 	messageChosen  = "server chosen"
+	messageTried   = "try ended"
 	messageEnded   = "request ended"
 )
 
--- a/entry/gateway/answers.go
+++ b/entry/gateway/answers.go
@@ -132,7 +132,17 @@
 		"waitedMs": time.Since(e.arrived).Milliseconds(), "configuration": e.table.Version(), "lastEvent": e.lastEvent}).Info("server chosen")
 }
 
+// logTry tells how a try ended. Where the server broke it off, the line names the request as it
+// is named in all its attempts, and says whether the server has ended.
 func (e *exchange) logTry(result tryResult) {
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
-		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.events, "lastEvent": e.lastEvent}).Info("try ended")
+	fields := logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
+		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.events, "lastEvent": e.lastEvent}
+	if result.Kind == execution.ForwardBroken {
+		fields["fingerprint"] = e.fingerprint().String()
+		fields["serverEnded"] = result.serverEnded
+	}
+	if !result.answerBegan.IsZero() {
+		fields["answerMs"] = time.Since(result.answerBegan).Milliseconds()
+	}
+	e.s.log.WithFields(fields).Info("try ended")
 }
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/platform"
 )
@@ -53,6 +54,9 @@
 	failure *heldAnswer
 	// begun says that the answer's headers have gone out.
 	begun bool
+	// hash is the request's fingerprint once hashed is set.
+	hash   quarantine.Fingerprint
+	hashed bool
 	// lastEvent is the identifier of the last event that was delivered.
 	lastEvent string
 	events    int
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -57,11 +57,15 @@
 func (w *world) worker(id, service string, script http.HandlerFunc) *standin.Worker {
 	worker := standin.NewWorker(id, service)
 	worker.Script = script
+	w.list(worker)
+	return worker
+}
+
+// list writes a backend server's row, and ends it with the test.
+func (w *world) list(worker *standin.Worker) {
 	w.t.Cleanup(worker.Close)
-	key, row := worker.Row("ready")
-	w.store.Put(key, row)
+	w.store.Put(worker.Row("ready"))
 	w.workers = append(w.workers, worker)
-	return worker
 }
 
 func (w *world) configure(change func(map[string]any)) {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -42,6 +42,7 @@
 			e.succeed()
 			return
 		}
+		e.lookForEnd(ctx, choice, &result)
 		e.logTry(result)
 		if result.answer != nil {
 			e.failure = result.answer
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -85,7 +85,7 @@
 }
 
 type counters struct {
-	requests, complete, refused, unknown, gone, again, resumed, moved                                   metrics.Counter
+	requests, complete, refused, unknown, gone, again, resumed, moved, serversEnded                     metrics.Counter
 	storeCalls, storeErrors, rowsRejected, peerMessages, peerBytes, viewsFetched, crossed, linesDropped metrics.Counter
 	firstByte, whole                                                                                    metrics.Timer
 }
@@ -96,8 +96,9 @@
 		refused: metrics.NewRegisteredCounter("requests.refused", r),
 		unknown: metrics.NewRegisteredCounter("requests.unknown", r), gone: metrics.NewRegisteredCounter("requests.caller.gone", r),
 		again: metrics.NewRegisteredCounter("attempts.again", r), resumed: metrics.NewRegisteredCounter("attempts.resumed", r),
-		moved:      metrics.NewRegisteredCounter("attempts.moved", r),
-		storeCalls: metrics.NewRegisteredCounter("store.calls", r), storeErrors: metrics.NewRegisteredCounter("store.errors", r),
+		moved:        metrics.NewRegisteredCounter("attempts.moved", r),
+		serversEnded: metrics.NewRegisteredCounter("attempts.server.ended", r),
+		storeCalls:   metrics.NewRegisteredCounter("store.calls", r), storeErrors: metrics.NewRegisteredCounter("store.errors", r),
 		rowsRejected: metrics.NewRegisteredCounter("store.rows.rejected", r),
 		peerMessages: metrics.NewRegisteredCounter("peer.messages", r), peerBytes: metrics.NewRegisteredCounter("peer.bytes", r),
 		viewsFetched: metrics.NewRegisteredCounter("peer.views.fetched", r),
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -66,7 +66,7 @@
 	server := choice.Server.Start()
 	reader := &eventReader{in: bufio.NewReader(response.Body)}
 	controller := http.NewResponseController(e.w)
-	first := true
+	began := time.Time{}
 	for {
 		ev, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -78,10 +78,12 @@
 			if ctx.Err() == nil {
 				e.s.serverFailed(server)
 			}
-			return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: fmt.Sprintf("stream: %v", err)})
+			result := e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: fmt.Sprintf("stream: %v", err)})
+			result.answerBegan = began
+			return result
 		}
-		if first {
-			first = false
+		if began.IsZero() {
+			began = time.Now()
 			progress.first()
 			e.s.bookFirst(progress.booked)
 		}
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -25,6 +25,12 @@
 	conclusion *execution.Conclusion
 	// answer is a server's own failure, which the caller may get.
 	answer *heldAnswer
+	// answerBegan is when this try's first event came; zero without any.
+	answerBegan time.Time
+	// brokenOffHere says that this entry ended the try, not the server.
+	brokenOffHere bool
+	// serverEnded says that the server's process was gone when the try had ended.
+	serverEnded bool
 }
 
 // heldAnswer is a whole plain answer.
@@ -59,6 +65,7 @@
 	server := choice.Server
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer func() { result.brokenOffHere = sending.Err() != nil && ctx.Err() == nil }()
 	dispatch := e.dispatch(choice)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
 	if err != nil {
