--- a/core/audit/trail.go
+++ b/core/audit/trail.go
@@ -21,6 +21,7 @@
 	Limits        Area = "limits"
 	Memory        Area = "memory"
 	Lifecycle     Area = "lifecycle"
+	Requests      Area = "requests"
 )
 
 // Event is one change, or the refusal of one.
--- a/core/execution/outcome.go
+++ b/core/execution/outcome.go
@@ -71,6 +71,7 @@
 	CodeCancelled        Code = "cancelled"
 	CodeLeaseExpired     Code = "lease_expired"
 	CodeRevisionBehind   Code = "revision_behind"
+	CodeQuarantined      Code = "quarantined"
 )
 
 // Refusal says why something was not taken on, and when asking again helps.
--- a/core/peering/beats.go
+++ b/core/peering/beats.go
@@ -31,7 +31,7 @@
 			beat.Rest = append(beat.Rest, address)
 		}
 	}
-	for _, zone := range g.farZones() {
+	for _, zone := range g.FarZones() {
 		beat.Far = append(beat.Far, g.oneOf(now, zone, turn))
 	}
 	return beat
@@ -59,8 +59,8 @@
 	return parts
 }
 
-// farZones returns the zones of the members that are not near, in a fixed order.
-func (g *Group) farZones() []string {
+// FarZones returns the zones of the members that are not near, in a fixed order.
+func (g *Group) FarZones() []string {
 	var zones []string
 	for _, m := range g.members {
 		if !g.isNear(m) && !slices.Contains(zones, m.zone) {
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -55,6 +55,8 @@
 	store    StoreState
 	// untold says that it has missed news and was not told of them yet.
 	untold bool
+	// recordsTold is when it was last told all records of requests.
+	recordsTold time.Time
 }
 
 // Group is the entries as one of them knows them. It is not safe for concurrent
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -5,6 +5,7 @@
 
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/placement"
+	"arbutusdeck/core/quarantine"
 )
 
 // Message is what one entry sends to another. Fields are numbered for the wire, see Encode.
@@ -48,6 +49,18 @@
 	Place *Place `cbor:"19,keyasint,omitempty"`
 	// Members are the entries that the sender takes for running, by zone.
 	Members []ZoneMembers `cbor:"12,keyasint,omitempty"`
+	// Records are of requests under which servers have ended.
+	Records []quarantine.Record `cbor:"21,keyasint,omitempty"`
+	// RecordsSum is quarantine.Watch.Sum of the sender, plus one; 0 if it isn't told.
+	RecordsSum uint64 `cbor:"22,keyasint,omitempty"`
+}
+
+// SetRecordsSum tells the sum of the sender's records.
+func (m *Message) SetRecordsSum(sum uint32) { m.RecordsSum = uint64(sum) + 1 }
+
+// RecordsDiffer says whether the sender's records are told, and are others than those of a sum.
+func (m *Message) RecordsDiffer(sum uint32) bool {
+	return m.RecordsSum != 0 && m.RecordsSum != uint64(sum)+1
 }
 
 // Ask asks an entry of another zone to place a request among that zone's servers.
@@ -101,7 +114,7 @@
 	Addresses []string `cbor:"2,keyasint,omitempty"`
 }
 
-// HasNews says whether the message tells of requests.
+// HasNews says whether the message tells of requests or servers.
 func (m *Message) HasNews() bool {
-	return len(m.Begun)+len(m.First)+len(m.Ended)+len(m.Unreachable) > 0
+	return len(m.Begun)+len(m.First)+len(m.Ended)+len(m.Unreachable)+len(m.Records) > 0
 }
--- a/core/peering/roomiest.go
+++ b/core/peering/roomiest.go
@@ -20,7 +20,7 @@
 		}
 	}
 	var best *member
-	for _, zone := range g.farZones() {
+	for _, zone := range g.FarZones() {
 		if m := newest[zone]; m != nil && (best == nil || m.room > best.room) {
 			best = m
 		}
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -28,5 +29,8 @@
 	return f
 }
 
+// Compare orders fingerprints, for lists that are the same each time.
+func Compare(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) }
+
 // String returns the fingerprint as log lines show it.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- /dev/null
+++ b/core/quarantine/record.go
@@ -0,0 +1,65 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Record is what entries tell each other of one request. Two records of a request are joined
+// the same way in any order: the one that was cleared more often goes before the other, and of
+// two that were cleared equally often all ends count. Fields are numbered for the wire.
+type Record struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	// Cleared is how often a whole answer has cleared the request since it is remembered.
+	Cleared uint32 `cbor:"2,keyasint,omitempty"`
+	// Ended are the starts of servers that have ended under it since, see hashOf; EndsInAnyCase
+	// at the most.
+	Ended []uint64 `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the last of these ends, or the answer that cleared it, was.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// hashOf stands for the name of a start of a server. The names are some 25 bytes long, and a
+// record holds several; two starts that share a hash would count as one.
+func hashOf(start string) uint64 { return xxhash.Sum64String(start) }
+
+// record is a Record as an entry keeps it.
+type record struct {
+	cleared uint32
+	// ended is in ascending order.
+	ended []uint64
+	// changed is when the last end or clearing was.
+	changed time.Time
+}
+
+// add adds an end and returns whether that is new. Of more than EndsInAnyCase the least hashes
+// are kept, so that entries that hear of the same ends keep the same ones.
+func (r *record) add(end uint64) bool {
+	at, found := slices.BinarySearch(r.ended, end)
+	if found || at >= EndsInAnyCase {
+		return false
+	}
+	r.ended = slices.Insert(r.ended, at, end)
+	r.ended = r.ended[:min(len(r.ended), EndsInAnyCase)]
+	return true
+}
+
+// join takes in another entry's record of the same request, and returns whether anything is new.
+func (r *record) join(told Record, changed time.Time) bool {
+	if told.Cleared < r.cleared {
+		return false
+	}
+	isNew := told.Cleared > r.cleared
+	if isNew {
+		r.cleared, r.ended = told.Cleared, nil
+	}
+	for _, end := range told.Ended {
+		isNew = r.add(end) || isNew
+	}
+	if isNew && changed.After(r.changed) {
+		r.changed = changed
+	}
+	return isNew
+}
--- /dev/null
+++ b/core/quarantine/watch.go
@@ -0,0 +1,220 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// EndsToRefuse is after how many ends of servers that are charged to a request it is
+	// refused. One is chance, and two can be where servers fail one after the other; a request
+	// that comes again ends this many within seconds. The users allow three.
+	EndsToRefuse = 3
+	// EndsInAnyCase is after how many ends it is refused whatever else ran at these servers.
+	// Two requests at fault that always meet at the same servers would otherwise hide each
+	// other. A sound request is sent to four servers on the users' deployments: two in an
+	// attempt, and its caller repeats it once.
+	EndsInAnyCase = 6
+	// BeginTime is for how long after its first event a request has just begun. A server that
+	// a request ends does so as it begins to run it: 20 to 110 ms later where this was seen,
+	// before its first event. It is longer by much, since events are late on a busy host, and
+	// short beside the two to three seconds that answers last.
+	BeginTime = time.Second
+	// Term is how long a request is remembered after the last end. It bounds what such a
+	// request may do to three servers an hour, and a request that servers bear again after
+	// a release is served within the hour.
+	Term = time.Hour
+	// MaxRecords bounds the requests that are remembered: some 100 bytes each. Where half of a
+	// fleet of 135 servers fails at once, some 200 requests have just begun there.
+	MaxRecords = 256
+)
+
+// JustBegun says whether a request had just begun at a server that has ended: it had no event
+// from it (answerBegan is zero), or its first one lately.
+func JustBegun(now, answerBegan time.Time) bool {
+	return answerBegan.IsZero() || now.Sub(answerBegan) < BeginTime
+}
+
+// Watch remembers requests under which servers have ended. It is not safe for concurrent use.
+type Watch struct {
+	records map[Fingerprint]*record
+}
+
+// NewWatch returns a watch that knows no request.
+func NewWatch() *Watch { return &Watch{records: map[Fingerprint]*record{}} }
+
+// Empty says whether no request is remembered.
+func (w *Watch) Empty() bool { return len(w.records) == 0 }
+
+// Ended takes in that a start of a server has ended under a request that had just begun there.
+// It returns what the other entries are to be told; false if nothing is new.
+func (w *Watch) Ended(now time.Time, f Fingerprint, start string) (Record, bool) {
+	r := w.records[f]
+	if r == nil {
+		r = w.make(f)
+	}
+	if !r.add(hashOf(start)) {
+		return Record{}, false
+	}
+	r.changed = now
+	return r.told(now, f), true
+}
+
+// Answered takes in that a request has got a whole answer that tells of success: no server ends
+// under it. It returns what the other entries are to be told; false if nothing was believed of it.
+func (w *Watch) Answered(now time.Time, f Fingerprint) (Record, bool) {
+	r := w.records[f]
+	if r == nil || len(r.ended) == 0 {
+		return Record{}, false
+	}
+	r.cleared++
+	r.ended, r.changed = nil, now
+	return r.told(now, f), true
+}
+
+// Join takes in what another entry tells. It returns the requests of which something is new.
+func (w *Watch) Join(now time.Time, told []Record) []Fingerprint {
+	var news []Fingerprint
+	for _, t := range told {
+		if t.Age < 0 || t.Age >= Term {
+			continue
+		}
+		r := w.records[t.Fingerprint]
+		if r == nil {
+			r = w.make(t.Fingerprint)
+		}
+		if r.join(t, now.Add(-t.Age)) {
+			news = append(news, t.Fingerprint)
+		}
+	}
+	return news
+}
+
+// make adds a record without an end. Where there are too many the one with the fewest ends
+// goes, the oldest of these: those that are refused stay.
+func (w *Watch) make(f Fingerprint) *record {
+	if len(w.records) >= MaxRecords {
+		delete(w.records, w.least())
+	}
+	r := &record{}
+	w.records[f] = r
+	return r
+}
+
+func (w *Watch) least() Fingerprint {
+	var found Fingerprint
+	var least *record
+	for f, r := range w.records {
+		order := -1
+		if least != nil {
+			order = cmp.Or(cmp.Compare(len(r.ended), len(least.ended)), r.changed.Compare(least.changed), Compare(f, found))
+		}
+		if order < 0 {
+			found, least = f, r
+		}
+	}
+	return found
+}
+
+// Refused says whether a request is not to be sent to any server, and for how long; 0 if it may
+// be sent.
+func (w *Watch) Refused(now time.Time, f Fingerprint) time.Duration {
+	r := w.records[f]
+	if r == nil || len(r.ended) < EndsInAnyCase && w.charged(f, r) < EndsToRefuse {
+		return 0
+	}
+	return max(Term-now.Sub(r.changed), 0)
+}
+
+// charged is the number of ends of servers that no other request explains as well. One does that
+// was there too and was at as many ends, or at one less: of the newest end it may not have been
+// heard yet, and without that allowance a request beside the one at fault would be taken for it
+// until the news is there.
+func (w *Watch) charged(f Fingerprint, r *record) int {
+	if len(r.ended) < EndsToRefuse {
+		return 0
+	}
+	count := len(r.ended)
+	for _, end := range r.ended {
+		if w.explained(end, f, len(r.ended)-1) {
+			count--
+		}
+	}
+	return count
+}
+
+// explained says whether another request was at an end, and at as many ends in all as given.
+func (w *Watch) explained(end uint64, f Fingerprint, ends int) bool {
+	for other, o := range w.records {
+		if other == f || len(o.ended) < ends {
+			continue
+		}
+		if _, found := slices.BinarySearch(o.ended, end); found {
+			return true
+		}
+	}
+	return false
+}
+
+// Expire forgets the requests whose term is over.
+func (w *Watch) Expire(now time.Time) {
+	for f, r := range w.records {
+		if now.Sub(r.changed) >= Term {
+			delete(w.records, f)
+		}
+	}
+}
+
+// AllRefused returns the requests that are refused.
+func (w *Watch) AllRefused(now time.Time) map[Fingerprint]bool {
+	refused := map[Fingerprint]bool{}
+	for f := range w.records {
+		if w.Refused(now, f) > 0 {
+			refused[f] = true
+		}
+	}
+	return refused
+}
+
+// Records returns what an entry is told that knows nothing, those with most ends first.
+func (w *Watch) Records(now time.Time) []Record {
+	records := make([]Record, 0, len(w.records))
+	for f, r := range w.records {
+		records = append(records, r.told(now, f))
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(len(b.Ended), len(a.Ended)), Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return records
+}
+
+// told returns a record as other entries are told of it.
+func (r *record) told(now time.Time, f Fingerprint) Record {
+	return Record{Fingerprint: f, Cleared: r.cleared, Ended: slices.Clone(r.ended), Age: max(now.Sub(r.changed), 0)}
+}
+
+// leastSummed is how many ends a record has that counts for Sum. Most records have one, of
+// requests that ran beside others, and decide nothing.
+const leastSummed = 2
+
+// Sum stands for the records that matter. Entries tell it with their heartbeats; those whose
+// sums differ tell each other their records, so that a record that was lost on its way reaches
+// everybody, and costs nothing once it has.
+func (w *Watch) Sum() uint32 {
+	sum := uint64(0)
+	for f, r := range w.records {
+		if len(r.ended) < leastSummed {
+			continue
+		}
+		data := binary.BigEndian.AppendUint32(slices.Clone(f[:]), r.cleared)
+		for _, end := range r.ended {
+			data = binary.BigEndian.AppendUint64(data, end)
+		}
+		sum += xxhash.Sum64(data)
+	}
+	return uint32(sum ^ sum>>32)
+}
--- /dev/null
+++ b/core/quarantine/watch_test.go
@@ -0,0 +1,230 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func named(name string) Fingerprint {
+	return FingerprintOf("press", "POST", "press.example", "/stream/"+name, []byte(name))
+}
+
+// A request comes again and again and ends a server each time. It is refused from the third end
+// on, for as long as it is remembered, and not before.
+func TestARequestIsRefusedOnceThreeServersHaveEndedUnderIt(t *testing.T) {
+	w := NewWatch()
+	f := named("fatal")
+	for i, server := range []string{"a", "b", "b", "c"} {
+		require.Zero(t, w.Refused(start, f), server)
+		_, isNew := w.Ended(start, f, server)
+		require.Equal(t, i != 2, isNew)
+	}
+	require.Equal(t, Term, w.Refused(start, f))
+	require.Equal(t, Term-time.Minute, w.Refused(start.Add(time.Minute), f))
+	require.Zero(t, w.Refused(start, named("another")))
+	w.Expire(start.Add(Term - 1))
+	require.False(t, w.Empty())
+	w.Expire(start.Add(Term))
+	require.True(t, w.Empty())
+}
+
+// A sound request runs beside one that ends its server, is sent to the next one, and meets it
+// there again, and once more when its caller comes back. It was at three ends of servers, of the
+// last of which the news of the other request are not there yet. It must be served; the other one is
+// refused once it was at two ends more.
+func TestARequestBesideTheOneAtFaultIsNotTakenForIt(t *testing.T) {
+	w := NewWatch()
+	fatal, sound := named("fatal"), named("sound")
+	for _, server := range []string{"a", "b"} {
+		w.Ended(start, sound, server)
+		w.Ended(start, fatal, server)
+	}
+	w.Ended(start, sound, "c")
+	require.Zero(t, w.Refused(start, sound), "before the news")
+	w.Ended(start, fatal, "c")
+	require.Zero(t, w.Refused(start, sound), "after the news")
+	require.Zero(t, w.Refused(start, fatal), "either may be at fault")
+	w.Ended(start, fatal, "d")
+	require.Zero(t, w.Refused(start, fatal))
+	w.Ended(start, fatal, "e")
+	require.Positive(t, w.Refused(start, fatal))
+	require.Zero(t, w.Refused(start, sound))
+}
+
+// Two requests that both end servers always meet. Neither can hide behind the other for long.
+func TestTwoAtFaultDoNotHideEachOther(t *testing.T) {
+	w := NewWatch()
+	for i := range EndsInAnyCase {
+		require.Zero(t, w.Refused(start, named("one")))
+		w.Ended(start, named("one"), fmt.Sprint(i))
+		w.Ended(start, named("two"), fmt.Sprint(i))
+	}
+	require.Positive(t, w.Refused(start, named("one")))
+	require.Positive(t, w.Refused(start, named("two")))
+}
+
+// A request was beside others at ends of servers and is answered in whole. What is told of it
+// late, or once more, must not make it suspect again; what happens after that counts.
+func TestAWholeAnswerClearsARequest(t *testing.T) {
+	w := NewWatch()
+	f := named("sound")
+	_, isNew := w.Answered(start, f)
+	require.False(t, isNew, "nothing is believed of it")
+	require.True(t, w.Empty())
+	late, _ := w.Ended(start, f, "a")
+	w.Ended(start, f, "b")
+	w.Ended(start, f, "c")
+	require.Positive(t, w.Refused(start, f))
+	_, isNew = w.Answered(start, f)
+	require.True(t, isNew)
+	require.Zero(t, w.Refused(start, f))
+	require.Empty(t, w.Join(start, []Record{late}))
+	w.Ended(start, f, "d")
+	w.Ended(start, f, "e")
+	require.Zero(t, w.Refused(start, f))
+	w.Ended(start, f, "f")
+	require.Positive(t, w.Refused(start, f))
+}
+
+// Servers end under one request each, many thousand times, as in a crash of half a fleet that
+// goes on. What is remembered stays bounded, and what is refused stays refused.
+func TestWhatIsRememberedIsBounded(t *testing.T) {
+	w := NewWatch()
+	for _, server := range []string{"a", "b", "c"} {
+		w.Ended(start, named("fatal"), server)
+	}
+	for i := range 20_000 {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		w.Ended(at, named(fmt.Sprint(i)), fmt.Sprint("s", i))
+		require.LessOrEqual(t, len(w.records), MaxRecords)
+	}
+	require.Positive(t, w.Refused(start, named("fatal")))
+	require.Len(t, w.records, MaxRecords)
+	require.Len(t, w.AllRefused(start), 1)
+	for i := range 100 {
+		w.Ended(start, named("fatal"), fmt.Sprint("t", i))
+	}
+	require.Len(t, w.records[named("fatal")].ended, EndsInAnyCase)
+}
+
+// What another entry tells of times that are past or to come can't keep a request for longer
+// than its term.
+func TestTellingDoesNotKeepARequestForLonger(t *testing.T) {
+	first, second := NewWatch(), NewWatch()
+	f := named("fatal")
+	for _, server := range []string{"a", "b", "c"} {
+		first.Ended(start, f, server)
+	}
+	later := start.Add(Term - time.Minute)
+	require.Len(t, second.Join(later, first.Records(later)), 1)
+	require.Equal(t, time.Minute, second.Refused(later, f))
+	second.Expire(later.Add(time.Minute))
+	require.True(t, second.Empty())
+	require.Empty(t, second.Join(start, []Record{{Fingerprint: f, Ended: []uint64{1}, Age: Term}, {Fingerprint: f, Ended: []uint64{1}, Age: -1}}))
+	require.True(t, second.Empty())
+}
+
+// Entries hear of ends and answers in any order, late, twice or not at all. Once they have told
+// each other all that they know they decide alike, and their sums are equal.
+func TestEntriesThatKnowTheSameDecideAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		watches := []*Watch{NewWatch(), NewWatch(), NewWatch()}
+		var told []Record
+		requests := []Fingerprint{named("a"), named("b"), named("c")}
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			w := watches[rapid.IntRange(0, len(watches)-1).Draw(t, "entry")]
+			f := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				if r, isNew := w.Answered(start, f); isNew {
+					told = append(told, r)
+				}
+			case 1:
+				if len(told) > 0 {
+					w.Join(start, told[rapid.IntRange(0, len(told)-1).Draw(t, "news"):][:1])
+				}
+			default:
+				if r, isNew := w.Ended(start, f, fmt.Sprint(rapid.IntRange(0, 7).Draw(t, "server"))); isNew {
+					told = append(told, r)
+				}
+			}
+		}
+		for range 2 {
+			for _, from := range watches {
+				for _, to := range watches {
+					to.Join(start, from.Records(start))
+				}
+			}
+		}
+		for _, w := range watches[1:] {
+			require.Equal(t, watches[0].Sum(), w.Sum())
+			for _, f := range requests {
+				require.Equal(t, watches[0].Refused(start, f), w.Refused(start, f))
+			}
+		}
+	})
+}
+
+// One request ends each server that begins to run it. Sound ones begin beside it at random, are
+// sent to four servers at the most and mostly answered then. None of them is ever refused, and
+// the one at fault is before it has ended more than EndsInAnyCase servers.
+func TestSoundRequestsAreNeverRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWatch()
+		fatal := named("fatal")
+		sent := map[Fingerprint]int{}
+		servers := 0
+		for w.Refused(start, fatal) == 0 {
+			server := fmt.Sprint(servers)
+			servers++
+			require.LessOrEqual(t, servers, EndsInAnyCase)
+			order := []Fingerprint{fatal}
+			for i := range rapid.IntRange(0, 6).Draw(t, "beside") {
+				f := named(fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "which")))
+				if sent[f] < 4 && !slices.Contains(order, f) {
+					sent[f]++
+					order = slices.Insert(order, rapid.IntRange(0, i).Draw(t, "place")%len(order), f)
+				}
+			}
+			for _, f := range order {
+				if f != fatal {
+					require.Zero(t, w.Refused(start, f))
+				}
+				w.Ended(start, f, server)
+			}
+			for f := range sent {
+				require.Zero(t, w.Refused(start, f))
+				if rapid.IntRange(0, 3).Draw(t, "answered") > 0 {
+					w.Answered(start, f)
+				}
+			}
+		}
+	})
+}
+
+// A server ends while it writes answers. Those that have come for longer didn't end it, those
+// that have just begun may have.
+func TestOnlyWhatHasJustBegunMayHaveEndedItsServer(t *testing.T) {
+	require.True(t, JustBegun(start, time.Time{}), "no event yet")
+	require.True(t, JustBegun(start, start.Add(-BeginTime/2)))
+	require.False(t, JustBegun(start, start.Add(-BeginTime)))
+}
+
+// Two entries hear of more ends than are kept of a request, in opposite orders. They must keep the
+// same ones, or they would tell each other all records for ever.
+func TestEntriesKeepTheSameEnds(t *testing.T) {
+	first, second := NewWatch(), NewWatch()
+	const ends = EndsInAnyCase + 2
+	for i := range ends {
+		first.Ended(start, named("fatal"), fmt.Sprint(i))
+		second.Ended(start, named("fatal"), fmt.Sprint(ends-1-i))
+	}
+	require.Equal(t, first.Sum(), second.Sum())
+}
--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -56,6 +56,7 @@
 		{RefusedStopping, 0, 0, 0, `"code":"stopping","outcome":"notRun"`},
 		{RefusedQueue, 0, 0, 0, `"code":"queue_full","outcome":"notRun"`},
 		{RefusedInfeasible, 0, 0, 0, `"code":"deadline_infeasible","outcome":"notRun"`},
+		{RefusedQuarantined, 0, 0, 0, `"code":"quarantined","outcome":"notRun"`},
 		{RefusedOther, 0, 0, 0, `"code":"something_new","outcome":"notRun"`},
 		{Denied, 0, 0, 0, `"code":"no_route","outcome":"notRun"`},
 		{TimedOut, 0, 100, 1, `"code":"route_timeout","outcome":"unknown"`},
--- a/entry/account/cause.go
+++ b/entry/account/cause.go
@@ -28,6 +28,7 @@
 	RefusedQueue         Cause = "refused: queue full"
 	RefusedInfeasible    Cause = "refused: too late"
 	RefusedNoServer      Cause = "refused: no server"
+	RefusedQuarantined   Cause = "refused: servers end under it"
 	RefusedOther         Cause = "refused: other"
 	// Denied: the caller's own fault (no route, no key, a bad body).
 	Denied Cause = "denied"
@@ -45,7 +46,7 @@
 
 // Causes are all causes, in the order of tables.
 var Causes = []Cause{InTime, PredictedLate, PredictedInTime, Waited, Pause, AnotherTry, RefusedStopping, RefusedConfiguration, RefusedQueue,
-	RefusedInfeasible, RefusedNoServer, RefusedOther, Denied, TimedOut, ServerFailed, EntryGone, CallerGone, Unfinished}
+	RefusedInfeasible, RefusedNoServer, RefusedQuarantined, RefusedOther, Denied, TimedOut, ServerFailed, EntryGone, CallerGone, Unfinished}
 
 // refusals are the causes of refusals by their codes.
 var refusals = map[execution.Code]Cause{
@@ -58,6 +59,7 @@
 	execution.CodeQueueFull:     RefusedQueue,
 	execution.CodeInfeasible:    RefusedInfeasible,
 	execution.CodeNoServer:      RefusedNoServer,
+	execution.CodeQuarantined:   RefusedQuarantined,
 }
 
 // history is what is kept of a request until it ends.
--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
+	"time"
 
 	"arbutusdeck/core/directory"
-	"arbutusdeck/core/execution"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 )
@@ -21,20 +22,41 @@
 	return e.hash
 }
 
-// lookForEnd finds out whether a try broke off because its server has ended.
+// lookForEnd finds out whether a try broke off because its server has ended, and remembers the
+// request if it may be the reason.
 func (e *exchange) lookForEnd(ctx context.Context, choice placement.Choice, result *tryResult) {
-	if result.Kind != execution.ForwardBroken || result.conclusion != nil || result.brokenOffHere {
+	if result.lost == nil || result.conclusion != nil || result.brokenOffHere || isSilence(result.lost) {
 		return
 	}
-	if result.serverEnded = hasEnded(ctx, choice.Server); result.serverEnded {
-		e.s.counters.serversEnded.Inc(1)
+	if result.serverEnded = e.s.hasEnded(ctx, choice.Server); !result.serverEnded {
+		return
+	}
+	e.s.counters.serversEnded.Inc(1)
+	if now := time.Now(); quarantine.JustBegun(now, result.answerBegan) {
+		e.noteEnd(now, choice)
 	}
 }
 
-// hasEnded says whether a server's process is gone: its host refuses connections to the
-// server's address. A server that breaks off an answer and lives, one that is full, and one
-// that is cut off don't refuse them.
-func hasEnded(ctx context.Context, server directory.Server) bool {
+// isSilence says whether a connection was given up because nothing came. A process that ends
+// closes its connections; and a caller who has waited that long must not wait for more.
+func isSilence(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// endTimeout bounds the look whether a server has ended: some thirty ways there and back
+// between zones. A host that answers nothing is not one whose server has ended.
+const endTimeout = 100 * time.Millisecond
+
+// hasEnded says whether a server's process is gone: a later start of it is known, or its host
+// refuses connections to its address. A server that breaks off an answer and lives, one that is
+// full, and one that is cut off don't refuse them.
+func (s *Server) hasEnded(ctx context.Context, server directory.Server) bool {
+	if s.superseded(server) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
 	connection, err := newDialer().DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/entry/gateway/news.go
+++ b/entry/gateway/news.go
@@ -140,6 +140,8 @@
 }
 
 func (p *peerExchange) sendNews(targets []string, news peering.Message) {
+	p.sendRecords(targets, news.Records)
+	news.Records = nil
 	for len(news.Begun) > maxDispatches {
 		p.send(targets, peering.Message{Begun: news.Begun[:maxDispatches]})
 		news.Begun = news.Begun[maxDispatches:]
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -161,7 +161,7 @@
 // sendMembers tells some entries of those that run.
 func (p *peerExchange) sendMembers(targets []string, members []peering.ZoneMembers) {
 	for _, part := range peering.InParts(members) {
-		p.send(targets, peering.Message{Members: part})
+		p.send(targets, p.s.beat(part))
 	}
 }
 
@@ -194,10 +194,7 @@
 		p.mu.Unlock()
 		p.noteSilent(silent)
 		p.sendMembers(beat.Lists, running)
-		p.send(beat.Rest, peering.Message{})
-		far := peering.Message{Members: neighbours}
-		far.SetRoom(p.s.tellRoom(now))
-		p.send(beat.Far, far)
+		p.sendBeats(now, beat, neighbours)
 		p.catchUp(now)
 		select {
 		case <-ticker.C:
@@ -207,6 +204,15 @@
 	}
 }
 
+// sendBeats tells entries of this zone that this one lives, and those of other zones which
+// neighbours do as well.
+func (p *peerExchange) sendBeats(now time.Time, beat peering.Heartbeat, neighbours []peering.ZoneMembers) {
+	p.send(beat.Rest, p.s.beat(nil))
+	far := p.s.beat(neighbours)
+	far.SetRoom(p.s.tellRoom(now))
+	p.send(beat.Far, far)
+}
+
 // noteSilent tells of entries that are no longer heard and of those that are again:
 // choices keep away from their servers meanwhile. Only the heartbeats' loop calls it.
 func (p *peerExchange) noteSilent(silent []string) {
@@ -244,6 +250,7 @@
 	sender := p.group.Heard(now, m)
 	p.mu.Unlock()
 	p.s.takeNews(now, m, sender.Restarted)
+	p.takeRecords(now, m)
 	if m.Update != nil {
 		p.s.takeUpdate(*m.Update, m.From)
 	}
--- /dev/null
+++ b/entry/gateway/quarantine.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"arbutusdeck/core/audit"
+	"arbutusdeck/core/execution"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/core/quarantine"
+)
+
+// maxRecords bounds the records of a message so that it stays within one packet of a usual link
+// (1,500 bytes); one with six ends takes some 90 bytes.
+const maxRecords = 12
+
+// quarantined says whether the request is refused because servers end under it. It is asked
+// before each try, also within an attempt: the third end may have been this attempt's own.
+// The status is that of a service that is unavailable, not of a bad request: the request is a
+// proper one that the servers can't bear, which a release of theirs may mend.
+func (e *exchange) quarantined(now time.Time) (execution.Refusal, bool) {
+	if e.s.remembersNone() {
+		return execution.Refusal{}, false
+	}
+	f := e.fingerprint()
+	e.s.mu.Lock()
+	left := e.s.watch.Refused(now, f)
+	e.s.mu.Unlock()
+	if left == 0 {
+		return execution.Refusal{}, false
+	}
+	e.s.counters.quarantined.Inc(1)
+	return execution.Refusal{Code: execution.CodeQuarantined, Detail: "backend servers end when they run this request", RetryAfter: left}, true
+}
+
+// remembersNone says whether no request is remembered, so that fingerprints need not be made.
+func (s *Server) remembersNone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.Empty()
+}
+
+// noteEnd remembers that a server has ended under the request, and tells all entries: it may
+// come again at any of them.
+func (e *exchange) noteEnd(now time.Time, choice placement.Choice) {
+	f := e.fingerprint()
+	start := choice.Server.Start()
+	e.s.mu.Lock()
+	if !e.s.isExpectedToLive(choice) {
+		e.s.mu.Unlock()
+		return
+	}
+	record, isNew := e.s.watch.Ended(now, f, start)
+	refused := e.s.watch.Refused(now, f) > 0
+	e.s.mu.Unlock()
+	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "fingerprint": f.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
+		Info("a server has ended under a request that had just begun there")
+	if isNew {
+		e.s.peers.tellRecord(record)
+	}
+}
+
+// isExpectedToLive says whether a server has not told that it leaves. One that does ends by
+// itself, whatever it runs; the caller holds the lock.
+func (s *Server) isExpectedToLive(choice placement.Choice) bool {
+	known, ok := s.directory.Lookup(choice.Server.Start())
+	return s.directory.Superseded(choice.Server.Start()) || ok && !known.Leaving
+}
+
+// noteAnswer clears a request that has got its whole answer.
+func (e *exchange) noteAnswer(now time.Time) {
+	if e.s.remembersNone() {
+		return
+	}
+	f := e.fingerprint()
+	e.s.mu.Lock()
+	record, isNew := e.s.watch.Answered(now, f)
+	e.s.mu.Unlock()
+	if isNew {
+		e.s.peers.tellRecord(record)
+	}
+}
+
+// tellRecord tells all entries of a request under which servers have ended, or that was answered.
+func (p *peerExchange) tellRecord(record quarantine.Record) {
+	p.mu.Lock()
+	everywhere := booking{far: p.group.FarZones()}
+	p.mu.Unlock()
+	p.tell(everywhere, func(m *peering.Message) { m.Records = append(m.Records, record) })
+	go p.flush()
+}
+
+// tellRecords tells an entry all records.
+func (p *peerExchange) tellRecords(now time.Time, target string) {
+	p.s.mu.Lock()
+	records := p.s.watch.Records(now)
+	p.s.mu.Unlock()
+	p.sendRecords([]string{target}, records)
+}
+
+// sendRecords sends records, in messages of their own.
+func (p *peerExchange) sendRecords(targets []string, records []quarantine.Record) {
+	for part := range slices.Chunk(records, maxRecords) {
+		p.send(targets, peering.Message{Records: part})
+	}
+}
+
+// takeRecords takes in what another entry tells of requests under which servers have ended. An
+// entry whose records are others is told those of this one.
+func (p *peerExchange) takeRecords(now time.Time, m peering.Message) {
+	p.s.mu.Lock()
+	p.s.watch.Join(now, m.Records)
+	differ := m.RecordsDiffer(p.s.watch.Sum())
+	p.s.mu.Unlock()
+	if !differ {
+		return
+	}
+	p.mu.Lock()
+	due := p.group.TellRecords(now, m.From)
+	p.mu.Unlock()
+	if due {
+		p.tellRecords(now, m.From)
+	}
+}
+
+// beat is a heartbeat that tells of some entries.
+func (s *Server) beat(members []peering.ZoneMembers) peering.Message {
+	m := peering.Message{Members: members}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.SetRecordsSum(s.watch.Sum())
+	return m
+}
+
+// noteQuarantine forgets requests whose term is over, and keeps the trail of those that are
+// refused. Only the tick calls it.
+func (s *Server) noteQuarantine(now time.Time) {
+	s.mu.Lock()
+	s.watch.Expire(now)
+	refused := s.watch.AllRefused(now)
+	s.mu.Unlock()
+	for _, f := range slices.SortedFunc(maps.Keys(refused), quarantine.Compare) {
+		if !s.refused[f] {
+			s.quarantineChanged(f, "served", "refused", "servers ended under it")
+		}
+	}
+	for _, f := range slices.SortedFunc(maps.Keys(s.refused), quarantine.Compare) {
+		if !refused[f] {
+			s.quarantineChanged(f, "refused", "served", "it was answered, or its term is over")
+		}
+	}
+	s.refused = refused
+}
+
+func (s *Server) quarantineChanged(f quarantine.Fingerprint, from, to, why string) {
+	s.log.WithFields(logrus.Fields{"fingerprint": f.String(), "from": from, "to": to, "why": why}).Warn("a request under which servers end")
+	s.audit(audit.Event{Area: audit.Requests, Subject: f.String(), From: from, To: to, Why: why, Source: "entries"})
+}
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -8,7 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/execution"
 	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/platform/standin"
 )
 
@@ -134,3 +139,120 @@
 		})
 	}
 }
+
+// One entry, and the request comes a second time: its first try is the third end. The attempt is
+// over then, though its route allows a second try, and its caller is not told that it didn't run.
+func TestAnAttemptIsNotSentOnAfterTheThirdEnd(t *testing.T) {
+	f := newFatalFleet(t, 1, "plain", 8, nil)
+	for range 3 {
+		r := f.send(f.entries[0], http.MethodGet, "/read/x", "key-1", fatal)
+		require.NotEqual(t, 200, r.status)
+		if f.ended() == 3 {
+			require.Equal(t, http.StatusBadGateway, r.status)
+			require.Equal(t, execution.CodeQuarantined, problemOf(t, r).Code)
+			return
+		}
+	}
+	require.Fail(t, "three servers have to end", "%d have", f.ended())
+}
+
+// Servers break off each answer to a request, and live: they fail, or the links do. A request that
+// servers bear must not be refused for it, however often it comes.
+func TestARequestWhoseServersLiveIsNotRefused(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for i := range 6 {
+		w.worker(fmt.Sprintf("i-%d", i), "plain", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	}
+	s := w.serve()
+	for range 8 {
+		require.Equal(t, http.StatusBadGateway, w.call(s, http.MethodPost, "/order/x", 0, "order").status)
+	}
+	require.Equal(t, 8, w.runs())
+}
+
+// Servers leave as planned, and end while they still run the same request. They end by
+// themselves: the request must not be refused.
+func TestALeavingServersEndIsNotChargedToWhatItRuns(t *testing.T) {
+	f := newFatalFleet(t, 1, "plain", 6, nil)
+	s := f.entries[0]
+	for _, worker := range f.workers[:4] {
+		f.store.Put(worker.Row("draining"))
+	}
+	f.eventually("the leaving is known", func() bool { return len(f.available(s, "plain")) == 2 })
+	e := &exchange{s: s, r: standin.Call(s.settings.ListenAddress, http.MethodGet, "/read/x", "a", 0, "")}
+	for _, worker := range f.workers[:4] {
+		e.noteEnd(time.Now(), placement.Choice{Server: directory.Server{ID: worker.ID}})
+	}
+	require.True(t, s.remembersNone())
+	e.noteEnd(time.Now(), placement.Choice{Server: directory.Server{ID: f.workers[5].ID}})
+	require.False(t, s.remembersNone())
+}
+
+// endedUnder is what an entry remembers of a request under which some servers have ended.
+func endedUnder(servers ...string) quarantine.Record {
+	watch := quarantine.NewWatch()
+	var record quarantine.Record
+	for _, server := range servers {
+		record, _ = watch.Ended(time.Now(), quarantine.FingerprintOf("press", http.MethodGet, "press.example", "/read/x", nil), server)
+	}
+	return record
+}
+
+// refuses says whether an entry refuses the request of endedUnder.
+func (s *Server) refuses(record quarantine.Record) func() bool {
+	return func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.watch.Refused(time.Now(), record.Fingerprint) > 0
+	}
+}
+
+// The datagram in which one entry tells another one of a request is lost. Their heartbeats show
+// that they know different things, and the other one refuses the request as well.
+func TestARecordThatIsLostIsToldAgain(t *testing.T) {
+	f := newFatalFleet(t, 2, "plain", 1, nil)
+	record := endedUnder("a", "b", "c")
+	f.entries[0].mu.Lock()
+	f.entries[0].watch.Join(time.Now(), []quarantine.Record{record})
+	f.entries[0].mu.Unlock()
+	f.eventually("the second refuses it", f.entries[1].refuses(record))
+}
+
+// Entries of a large fleet tell each other of requests within their zone only. A request that
+// ends servers comes at any entry: those of other zones have to refuse it as well, at once.
+func TestEntriesOfOtherZonesAreToldOfRequestsThatEndServers(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	w.eventually("the first divides the servers too", func() bool {
+		here.peers.mu.Lock()
+		defer here.peers.mu.Unlock()
+		return here.peers.group.Divided() && len(here.peers.group.In(time.Now(), "there")) == 1
+	})
+	record := endedUnder("a", "b", "c")
+	here.peers.tellRecord(record)
+	require.Eventually(t, there.refuses(record), peering.HeartbeatInterval/2, time.Millisecond)
+}
+
+// A request was there when two servers ended, and is then answered in whole: it didn't end them.
+// All entries forget what they believed of it, or a third end by chance would have it refused.
+func TestARequestThatIsAnsweredIsCleared(t *testing.T) {
+	f := newFatalFleet(t, 2, "plain", 1, nil)
+	record := endedUnder("a", "b")
+	for _, s := range f.entries {
+		s.mu.Lock()
+		s.watch.Join(time.Now(), []quarantine.Record{record})
+		s.mu.Unlock()
+	}
+	require.Equal(t, 200, f.send(f.entries[0], http.MethodGet, "/read/x", "key-1", "").status)
+	for _, s := range f.entries {
+		f.eventually("it is cleared", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			known := s.watch.Records(time.Now())
+			return len(known) == 1 && len(known[0].Ended) == 0
+		})
+	}
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -21,6 +21,10 @@
 	defer cancel()
 	for {
 		now := time.Now()
+		if cause, is := e.quarantined(now); is {
+			e.conclude(e.core.Conclude(cause))
+			return
+		}
 		choice, refusal := e.place(ctx, now)
 		if refusal != "" {
 			cause := refusalOf(refusal, choice)
@@ -39,6 +43,9 @@
 		e.logChoice(choice)
 		result := e.try(ctx, choice)
 		if result.over {
+			if result.success {
+				e.noteAnswer(time.Now())
+			}
 			e.succeed()
 			return
 		}
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -28,6 +28,7 @@
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/platform"
 )
@@ -63,6 +64,8 @@
 	tomb        *tomb.Tomb
 	// loaded is the settings as last read; only the settings loop uses it.
 	loaded Settings
+	// refused are the requests that were refused at the last tick; only the tick uses it.
+	refused map[quarantine.Fingerprint]bool
 
 	mu        sync.Mutex
 	settings  Settings
@@ -80,32 +83,10 @@
 	// divisions tell for each engine service whether entries keep to their zone's servers.
 	divisions map[string]parts.Division
 	budgets   map[string]*execution.RetryBudget
-	random    *rand.Rand
-	pause     *membership.PauseDetector
-}
-
-type counters struct {
-	requests, complete, refused, unknown, gone, again, resumed, moved, serversEnded                     metrics.Counter
-	storeCalls, storeErrors, rowsRejected, peerMessages, peerBytes, viewsFetched, crossed, linesDropped metrics.Counter
-	firstByte, whole                                                                                    metrics.Timer
-}
-
-func newCounters(r metrics.Registry) counters {
-	return counters{
-		requests: metrics.NewRegisteredCounter("requests", r), complete: metrics.NewRegisteredCounter("requests.complete", r),
-		refused: metrics.NewRegisteredCounter("requests.refused", r),
-		unknown: metrics.NewRegisteredCounter("requests.unknown", r), gone: metrics.NewRegisteredCounter("requests.caller.gone", r),
-		again: metrics.NewRegisteredCounter("attempts.again", r), resumed: metrics.NewRegisteredCounter("attempts.resumed", r),
-		moved:        metrics.NewRegisteredCounter("attempts.moved", r),
-		serversEnded: metrics.NewRegisteredCounter("attempts.server.ended", r),
-		storeCalls:   metrics.NewRegisteredCounter("store.calls", r), storeErrors: metrics.NewRegisteredCounter("store.errors", r),
-		rowsRejected: metrics.NewRegisteredCounter("store.rows.rejected", r),
-		peerMessages: metrics.NewRegisteredCounter("peer.messages", r), peerBytes: metrics.NewRegisteredCounter("peer.bytes", r),
-		viewsFetched: metrics.NewRegisteredCounter("peer.views.fetched", r),
-		crossed:      metrics.NewRegisteredCounter("requests.crossed", r),
-		linesDropped: metrics.NewRegisteredCounter("log.lines.dropped", r),
-		firstByte:    metrics.NewRegisteredTimer("first.byte", r), whole: metrics.NewRegisteredTimer("whole.answer", r),
-	}
+	// watch remembers requests under which servers have ended.
+	watch  *quarantine.Watch
+	random *rand.Rand
+	pause  *membership.PauseDetector
 }
 
 // incarnationLength is the characters of a start's name, of four bits each. It goes out
@@ -120,7 +101,7 @@
 		options: options, settings: settings, loaded: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), book: placement.NewBook(placement.DefaultOptions(settings.Zone)),
 		divisions: map[string]parts.Division{},
-		budgets:   map[string]*execution.RetryBudget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		budgets:   map[string]*execution.RetryBudget{}, watch: quarantine.NewWatch(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pause: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
@@ -132,6 +113,11 @@
 	group := peering.New(settings.PeerAddress, settings.Zone, s.incarnation, settings.Seeds)
 	s.peers = newPeerExchange(s, group)
 	s.setReading(settings.readOptions())
+	metrics.NewRegisteredFunctionalGauge("quarantine.requests", s.registry, func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return int64(len(s.watch.AllRefused(time.Now())))
+	})
 	return s
 }
 
@@ -267,6 +253,7 @@
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
 		s.noteServers(changes, "platform")
+		s.noteQuarantine(now)
 		s.divide()
 		s.becomeReady()
 		s.connections.closeIdle(now, s.idleTimeout())
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -72,13 +72,13 @@
 		if errors.Is(err, io.EOF) {
 			e.s.serverSucceeded(server)
 			e.beginStream(response)
-			return tryResult{over: true, ForwardResult: execution.ForwardResult{Server: server, Kind: execution.ForwardComplete}}
+			return wholeAnswer(server, true)
 		}
 		if err != nil {
 			if ctx.Err() == nil {
 				e.s.serverFailed(server)
 			}
-			result := e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: fmt.Sprintf("stream: %v", err)})
+			result := e.broken(ctx, server, err, fmt.Sprintf("stream: %v", err))
 			result.answerBegan = began
 			return result
 		}
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -18,8 +18,8 @@
 // tryResult is how one try ended.
 type tryResult struct {
 	execution.ForwardResult
-	// over says that the caller has its whole answer.
-	over bool
+	// over says that the caller has its whole answer, success that it tells of success.
+	over, success bool
 	// conclusion is set if the request itself is over: its time has passed or
 	// the caller has left.
 	conclusion *execution.Conclusion
@@ -27,6 +27,8 @@
 	answer *heldAnswer
 	// answerBegan is when this try's first event came; zero without any.
 	answerBegan time.Time
+	// lost is what the connection to the server broke with; nil if it didn't.
+	lost error
 	// brokenOffHere says that this entry ended the try, not the server.
 	brokenOffHere bool
 	// serverEnded says that the server's process was gone when the try had ended.
@@ -107,13 +109,12 @@
 
 // noAnswer handles a try that brought no headers.
 func (e *exchange) noAnswer(ctx context.Context, server string, err error) tryResult {
-	refusal := execution.Refusal{Code: execution.CodeConnectionLost, Detail: err.Error(), RetryAfter: 200 * time.Millisecond}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		if ctx.Err() == nil {
 			e.s.unreachable(server)
 		}
-		return e.ended(ctx, server, execution.ForwardUnsent, refusal)
+		return e.ended(ctx, server, execution.ForwardUnsent, lostConnection(err.Error()))
 	}
 	e.core.Sending()
 	switch {
@@ -124,7 +125,25 @@
 		// A server that went down resets connections or closes them before it answers.
 		e.s.unreachable(server)
 	}
-	return e.ended(ctx, server, execution.ForwardBroken, refusal)
+	return e.broken(ctx, server, err, err.Error())
+}
+
+// lostConnection is the cause of a try whose connection could not be made, or broke.
+func lostConnection(detail string) execution.Refusal {
+	return execution.Refusal{Code: execution.CodeConnectionLost, Detail: detail, RetryAfter: 200 * time.Millisecond}
+}
+
+// broken is the end of a try whose connection broke before the answer was whole.
+func (e *exchange) broken(ctx context.Context, server string, err error, detail string) tryResult {
+	result := e.ended(ctx, server, execution.ForwardBroken, lostConnection(detail))
+	result.lost = err
+	return result
+}
+
+// wholeAnswer is the end of a try whose answer the caller has; success says that it tells of
+// success.
+func wholeAnswer(server string, success bool) tryResult {
+	return tryResult{over: true, success: success, ForwardResult: execution.ForwardResult{Server: server, Kind: execution.ForwardComplete}}
 }
 
 // ended turns the end of a try into a result; a request whose time has passed or
@@ -240,16 +259,16 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswer+1))
 	if err != nil {
 		e.s.serverFailed(server)
-		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: err.Error()})
+		return e.broken(ctx, server, err, err.Error())
 	}
 	held := &heldAnswer{status: response.StatusCode, header: response.Header, body: body}
 	if len(body) > bufferedAnswer {
-		return e.passLarge(ctx, server, held, response.Body)
+		return e.passLarge(ctx, server, held, response.Body, success)
 	}
 	if success {
 		e.s.serverSucceeded(server)
 		held.deliver(e)
-		return tryResult{over: true, ForwardResult: execution.ForwardResult{Server: server, Kind: execution.ForwardComplete}}
+		return wholeAnswer(server, true)
 	}
 	if e.begun {
 		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeEngineFailed, Detail: response.Status})
@@ -261,15 +280,15 @@
 		return result
 	}
 	held.deliver(e)
-	return tryResult{over: true, ForwardResult: execution.ForwardResult{Server: server, Kind: execution.ForwardComplete}}
+	return wholeAnswer(server, false)
 }
 
 // passLarge passes on an answer that is too large to be held.
-func (e *exchange) passLarge(ctx context.Context, server string, held *heldAnswer, rest io.Reader) tryResult {
+func (e *exchange) passLarge(ctx context.Context, server string, held *heldAnswer, rest io.Reader, success bool) tryResult {
 	held.deliver(e)
 	if _, err := io.Copy(e.w, rest); err != nil {
 		return e.ended(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: err.Error()})
 	}
 	e.s.serverSucceeded(server)
-	return tryResult{over: true, ForwardResult: execution.ForwardResult{Server: server, Kind: execution.ForwardComplete}}
+	return wholeAnswer(server, success)
 }
--- a/proof/mutations/mutations_test.go
+++ b/proof/mutations/mutations_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -97,7 +98,7 @@
 
 func TestEverySafeguardIsMissed(t *testing.T) {
 	top := root(t)
-	for _, m := range append(mutations, forwardingMutations...) {
+	for _, m := range slices.Concat(mutations, forwardingMutations, quarantineMutations) {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			output, err := runWithout(t, top, m)
--- /dev/null
+++ b/proof/mutations/quarantine_mutations_test.go
@@ -0,0 +1,27 @@
+package mutations
+
+const quarantinePkg = "arbutusdeck/core/quarantine"
+
+// quarantineMutations remove the safeguards around requests under which servers end.
+var quarantineMutations = []mutation{
+	{"such a request is refused", "entry/gateway/run.go", "		if cause, is := e.quarantined(now); is {\n", "		if cause, is := e.quarantined(now); is && cause.Code == \"\" {\n", gatewayPkg, "TestARequestThatEndsServers"},
+	{"it is refused within an attempt", "entry/gateway/run.go", "		if cause, is := e.quarantined(now); is {\n", "		if cause, is := e.quarantined(now); is && e.core.Sent() == 0 {\n", gatewayPkg, "TestAnAttemptIsNotSentOn"},
+	{"all entries are told", "entry/gateway/quarantine.go", "		e.s.peers.tellRecord(record)\n	}\n}\n\n// isExpected", "		_ = record\n	}\n}\n\n// isExpected", gatewayPkg, "TestARequestThatEndsServers"},
+	{"entries of other zones are told", "entry/gateway/quarantine.go", "booking{far: p.group.FarZones()}", "booking{}", gatewayPkg, "TestEntriesOfOtherZonesAreTold"},
+	{"a lost record is told again", "entry/gateway/quarantine.go", "	m.SetRecordsSum(s.watch.Sum())\n", "", gatewayPkg, "TestARecordThatIsLost"},
+	{"a server that lives is no end", "entry/gateway/ended.go", "	// Nothing was sent on it.\n	_ = connection.Close()\n	return false\n", "	_ = connection.Close()\n	return true\n", gatewayPkg, "TestARequestWhoseServersLive"},
+	{"a leaving server's end is its own", "entry/gateway/quarantine.go", " || ok && !known.Leaving", " || ok || known.Leaving", gatewayPkg, "TestALeavingServersEnd"},
+	{"callers are told apart", "core/quarantine/fingerprint.go", "[]string{workspace, method, host, uri}", "[]string{method, host, uri}", quarantinePkg, "TestOnlyTheSameRequest"},
+	{"fields are told apart", "core/quarantine/fingerprint.go", "uint64(len(field))", "0", quarantinePkg, "TestOnlyTheSameRequest"},
+	{"who runs beside it is not refused", "core/quarantine/watch.go", "		if w.explained(end, f, len(r.ended)-1) {", "		if w.explained(end, f, 1000) {", quarantinePkg, "TestARequestBeside|TestSoundRequests"},
+	{"late news are allowed for", "core/quarantine/watch.go", "len(r.ended)-1) {", "len(r.ended)) {", quarantinePkg, "TestARequestBeside"},
+	{"two at fault don't hide each other", "core/quarantine/watch.go", "len(r.ended) < EndsInAnyCase && w", "w", quarantinePkg, "TestTwoAtFault"},
+	{"a whole answer clears", "entry/gateway/run.go", "				e.noteAnswer(time.Now())\n", "", gatewayPkg, "TestARequestThatIsAnswered"},
+	{"late news don't undo an answer", "core/quarantine/record.go", "	if told.Cleared < r.cleared {", "	if false {", quarantinePkg, "TestAWholeAnswerClears"},
+	{"what is remembered is bounded", "core/quarantine/watch.go", "		delete(w.records, w.least())\n", "", quarantinePkg, "TestWhatIsRemembered"},
+	{"what is refused stays remembered", "core/quarantine/watch.go", "cmp.Compare(len(r.ended), len(least.ended)), ", "", quarantinePkg, "TestWhatIsRemembered"},
+	{"entries keep the same ends", "core/quarantine/record.go", "	if found || at >= EndsInAnyCase {", "	if found || len(r.ended) >= EndsInAnyCase {", quarantinePkg, "TestEntriesKeepTheSameEnds"},
+	{"a request's term ends", "core/quarantine/watch.go", "		if now.Sub(r.changed) >= Term {", "		if now.Sub(r.changed) >= 1000*Term {", quarantinePkg, "TestARequestIsRefused"},
+	{"telling keeps the age", "core/quarantine/watch.go", "r.join(t, now.Add(-t.Age))", "r.join(t, now)", quarantinePkg, "TestTelling"},
+	{"only what has just begun is remembered", "core/quarantine/watch.go", "now.Sub(answerBegan) < BeginTime", "true", quarantinePkg, "TestOnlyWhatHasJustBegun"},
+}
