The soak plays requests that end servers, at servers whose hosts refuse connections

Why: the soak's servers crashed at random times only, and a link without a server reset connections where a host refuses them; so neither the fault nor what tells it apart could be played. Change: fatal requests come again at any entry beside sound ones to the same path; servers that end under them are back after one to three seconds. Two promises: such a request reaches servers in no more than three sends by entries in touch once it has ended three (and none in the calm part), and no other request is refused for it.

--- a/proof/soak/check.go
+++ b/proof/soak/check.go
@@ -43,6 +43,7 @@
 	}
 	c.checkVersions()
 	c.checkRetries()
+	c.checkFatal(timed)
 	c.checkEnd()
 	if timed {
 		c.checkTimes()
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,6 +82,18 @@
 			r.Configs = append(r.Configs, ConfigChange{4, after(20)})
 			probe(r, "p1", 24, 404, 4)
 		},
+		"a request that ends servers is not sent on": func(r *Records) {
+			for i := range fatalEnds + fatalMore + 1 {
+				id := fmt.Sprint("f", i)
+				at := after(20 + 5*float64(i))
+				r.Ends = append(r.Ends, End{Fatal: 1, Worker: id, At: at})
+				r.Calls = append(r.Calls, Call{ID: id, Kind: Order, Path: "/order/fatal", Fatal: 1, Began: at, Ended: at, Wait: time.Second, Status: 502, Whole: true})
+				r.Arrivals = append(r.Arrivals, Arrival{ID: id, Worker: id, Service: plain, At: at})
+			}
+		},
+		"only a request that ends servers is refused for it": func(r *Records) {
+			r.Calls[0].Status, r.Calls[0].Signature, r.Calls[0].Body, r.Runs = 503, "", "{"+quarantinedCode+"}", nil
+		},
 		"a leaving server gets nothing new": func(r *Records) { r.Leaving["w"] = after(5) },
 	}
 	for promise, breaks := range cases {
--- a/proof/soak/cmd/soak/main.go
+++ b/proof/soak/cmd/soak/main.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "processes", Value: 5, Usage: "how many entries run"},
 			&cli.IntFlag{Name: "workers", Value: 9, Usage: "how many backend servers the stand-ins play"},
 			&cli.DurationFlag{Name: "bound", Value: soak.DefaultChangeBound, Usage: "how soon a change has to be in force; from 2.5s on two entries read the store for all"},
+			&cli.IntFlag{Name: "fatal", Value: 2, Usage: "how many requests come again and again that end each server which begins to run them"},
 			&cli.BoolFlag{Name: "untimed", Usage: "check no promise that bounds a time, for a machine that is busy"},
 			&cli.StringFlag{Name: "keep", Value: filepath.Join(os.TempDir(), "arbutus-soak"), Usage: "the `FOLDER` that keeps the logs of failed seeds"},
 		},
@@ -73,17 +74,19 @@
 func playSeed(c *cli.Command, seed uint64, binary, folder string) (bool, error) {
 	kept := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 	report, err := soak.Play(soak.Options{Seed: seed, Length: time.Duration(c.Float("minutes") * float64(time.Minute)), Entries: c.Int("processes"),
-		Workers: c.Int("workers"), ChangeBound: c.Duration("bound"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
+		Workers: c.Int("workers"), ChangeBound: c.Duration("bound"), Fatal: c.Int("fatal"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, kept, err)
 	}
-	fmt.Printf("seed %d: %d faults, %d calls, %d answered, %d runs, %d findings\n", seed, len(report.Steps), report.Calls, report.Answered, report.Runs, len(report.Findings))
+	fmt.Printf("seed %d: %d faults, %d calls, %d answered, %d runs, %d servers ended under fatal requests, %d findings\n", seed, len(report.Steps), report.Calls, report.Answered, report.Runs, report.Ended,
+		len(report.Findings))
 	if !report.Failed() {
 		return true, os.RemoveAll(kept)
 	}
 	for _, f := range report.Findings {
 		fmt.Printf("  %s: %s\n", f.Promise, f.Detail)
 	}
-	fmt.Printf("  logs: %s; again: soak --seed %d --minutes %g --processes %d --workers %d\n", kept, seed, c.Float("minutes"), c.Int("processes"), c.Int("workers"))
+	fmt.Printf("  logs: %s; again: soak --seed %d --minutes %g --processes %d --workers %d --bound %s --fatal %d\n", kept, seed, c.Float("minutes"), c.Int("processes"),
+		c.Int("workers"), c.Duration("bound"), c.Int("fatal"))
 	return false, nil
 }
--- a/proof/soak/daemon.go
+++ b/proof/soak/daemon.go
@@ -184,6 +184,7 @@
 	portReady
 	portPeers
 	portMetrics
+	portServer // of backend servers
 )
 
 func settingsOf(index int, host, store string, seeds []string, changeBound time.Duration) gateway.Settings {
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -7,7 +7,8 @@
 // reset, cut one way and silence connections. Processes are killed, paused, stopped
 // as planned and told of changed settings by signals, backend servers crash, leave,
 // give their address to others and spoil answers, and the metadata store refuses,
-// forgets and lapses. Faults come in series and overlap.
+// forgets and lapses. Faults come in series and overlap. Requests under which servers end come
+// again and again.
 //
 // The daemons' clocks are not stepped: forwarding decides by monotonic time alone.
 package soak
@@ -33,6 +34,9 @@
 	// be used and a leaving server may get requests, as the entries are told; 0 is
 	// DefaultChangeBound, below which each entry reads the store itself.
 	ChangeBound time.Duration
+	// Fatal is how many requests come again and again that end each server which begins to run
+	// them.
+	Fatal int
 	// Timed also checks the promises that bound times. They hold on a machine
 	// that is not overloaded.
 	Timed bool
--- /dev/null
+++ b/proof/soak/fatal.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"arbutusdeck/platform/standin"
+)
+
+// A fatal request ends each server that begins to run it. It comes again and again, at any
+// entry, each time in another attempt, and beside it others of the same caller to the same path.
+
+const (
+	// fatalFirst and fatalGap are when the first and each further fatal request begins to come.
+	fatalFirst = 1500 * time.Millisecond
+	fatalGap   = 4 * time.Second
+	// fatalPause and fatalPauseSpread, in ms, lie between two attempts of one.
+	fatalPause       = 100 * time.Millisecond
+	fatalPauseSpread = 500
+	// fatalDown and fatalDownSpread, in ms, are how long a server is away that has ended.
+	fatalDown       = time.Second
+	fatalDownSpread = 2000
+	// fatalTokens is short enough that it is not divided.
+	fatalTokens = 1500
+)
+
+// fatalRoutes are the routes to which fatal requests come, by turns.
+var fatalRoutes = []struct {
+	kind         CallKind
+	method, path string
+	tokens       int
+}{{Stream, http.MethodPost, "/stream/fatal", fatalTokens}, {Read, http.MethodGet, "/read/fatal", 0}, {Order, http.MethodPost, "/order/fatal", 0},
+	{Once, http.MethodPost, "/once/fatal", fatalTokens}}
+
+// fatalBody is the body of a fatal request; 0 is that of a sound one to the same path.
+func fatalBody(number int) string {
+	if number == 0 {
+		return "sound"
+	}
+	return fmt.Sprintf("fatal %d", number)
+}
+
+// End is the end of a server under a fatal request.
+type End struct {
+	// Fatal is the request's number, from 1.
+	Fatal  int
+	Worker string
+	At     time.Time
+}
+
+// endUnder ends a server if a request is fatal, and starts the next one later.
+func (s *slot) endUnder(w *standin.Worker, run standin.Run) bool {
+	number := 0
+	if _, err := fmt.Sscanf(run.Body, "fatal %d", &number); err != nil {
+		return false
+	}
+	s.records.ranFatal(run.ID, s.index, w)
+	if !s.ends(w) {
+		return true // it has ended already
+	}
+	s.records.end(End{Fatal: number, Worker: w.ID, At: time.Now()})
+	over := s.records.fault(WorkerCrashed, s.index)
+	s.cutOff()
+	s.ending.Go(func() {
+		defer over()
+		if !s.busy.TryLock() {
+			return // whoever ends it starts the next one
+		}
+		defer s.busy.Unlock()
+		if s.current() != w {
+			return
+		}
+		down := fatalDown + time.Duration(pick(run.ID, "down", fatalDownSpread))*time.Millisecond
+		if err := s.crashFor(down); err != nil {
+			s.records.failure(err)
+		}
+	})
+	return true
+}
+
+// ends notes that a server ends; it returns false if that is known.
+func (s *slot) ends(w *standin.Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.ended == w
+	s.ended = w
+	return !known
+}
+
+// callFatal sends a fatal request to entries at random, and a sound one beside it now and then,
+// until the context is over.
+func (w *world) callFatal(ctx context.Context, number int) {
+	sleep(ctx, fatalFirst+time.Duration(number-1)*fatalGap)
+	random := rand.New(rand.NewPCG(w.options.Seed, uint64(2+number)))
+	callers := make([]*caller, len(w.daemons))
+	for entry := range w.daemons {
+		callers[entry] = newCaller(fmt.Sprintf("f%d-%d", number, entry), entry, w.fronts[entry].Address(), w.options.Seed, w.records, w.newest)
+		defer callers[entry].client.CloseIdleConnections()
+	}
+	for ctx.Err() == nil {
+		c := callers[random.IntN(len(callers))]
+		c.oneFatal(number, number)
+		c.oneFatal(number, 0)
+		sleep(ctx, fatalPause+time.Duration(random.IntN(fatalPauseSpread))*time.Millisecond)
+	}
+}
+
+// oneFatal sends the fatal request of a number, or a sound one to its path.
+func (c *caller) oneFatal(number, body int) {
+	c.serial++
+	route := fatalRoutes[(number-1)%len(fatalRoutes)]
+	call := Call{ID: fmt.Sprintf("%s-%d", c.name, c.serial), Kind: route.kind, Path: route.path, Entry: c.entry, Key: lastingKey, Fatal: body, Wait: waitLeast}
+	c.do(&call, standin.Within(standin.Call(c.address, route.method, route.path, call.ID, route.tokens, fatalBody(body)), call.Wait))
+	c.records.call(call)
+}
+
+// quarantinedCode is what an entry answers that refuses a request because servers end under it.
+const quarantinedCode = `"code":"quarantined"`
+
+// fatalEnds is after how many ends a request is known, and fatalMore how many more sends there
+// may be by entries that no fault touched; the users' figures.
+const (
+	fatalEnds = 3
+	fatalMore = 3
+)
+
+// checkFatal finds requests that end servers and are sent on, and sound ones that are refused
+// for it.
+func (c *checker) checkFatal(timed bool) {
+	for i := range c.Calls {
+		call := &c.Calls[i]
+		if call.Fatal == 0 && strings.Contains(call.Body, quarantinedCode) {
+			c.found("only a request that ends servers is refused for it", "%s %s was", call.ID, call.Path)
+		}
+	}
+	ends := map[int][]time.Time{}
+	for _, end := range c.Ends {
+		ends[end.Fatal] = append(ends[end.Fatal], end.At)
+	}
+	for number, at := range ends {
+		if len(at) < fatalEnds {
+			continue
+		}
+		known := at[fatalEnds-1]
+		if timed {
+			c.checkSentOn(number, known)
+		}
+		c.checkCalm(number, known)
+	}
+}
+
+// checkSentOn counts the sends of a fatal request by entries in touch, after it must be known.
+func (c *checker) checkSentOn(number int, known time.Time) {
+	more := 0
+	for _, a := range c.Arrivals {
+		call := c.calls[a.ID]
+		if call == nil || call.Fatal != number || !a.At.After(known.Add(stableWindow+slack)) || !c.inTouch(call.Entry, call.Began, a.At) {
+			continue
+		}
+		more++
+	}
+	if more > fatalMore {
+		c.found("a request that ends servers is not sent on", "fatal request %d was sent %d times more after it had ended %d servers", number, more, fatalEnds)
+	}
+}
+
+// checkCalm finds sends in the part without faults, if an entry has lived since the request was
+// known and so can tell all others.
+func (c *checker) checkCalm(number int, known time.Time) {
+	lives := false
+	for entry := range c.Starts {
+		lives = lives || !c.startedBetween(entry, known.Add(-stableWindow), c.Calm)
+	}
+	for _, a := range c.Arrivals {
+		call := c.calls[a.ID]
+		if lives && call != nil && call.Fatal == number && call.Began.After(c.Calm.Add(CalmTime/2)) {
+			c.found("a request that ends servers is not sent on", "fatal request %d reached %s (%s) long after it had ended %d servers", number, a.Worker, a.ID, fatalEnds)
+		}
+	}
+}
--- a/proof/soak/link.go
+++ b/proof/soak/link.go
@@ -28,14 +28,17 @@
 // linkDelay is added to each piece that passes a delayed link.
 const linkDelay = 150 * time.Millisecond
 
-// Link passes connections on to a target and harms them.
+// Link passes connections on to a target and harms them. Without a target it refuses them, as a
+// host does on which nothing listens.
 type Link struct {
-	listener net.Listener
+	address string
 
-	mu     sync.Mutex
-	target string
-	fault  LinkFault
-	open   map[*connection]bool
+	mu sync.Mutex
+	// listener is nil while connections are refused.
+	listener net.Listener
+	target   string
+	fault    LinkFault
+	open     map[*connection]bool
 }
 
 type connection struct {
@@ -51,25 +54,53 @@
 	inward
 )
 
-// NewLink listens on an address and passes connections on to a target.
+// NewLink passes connections to an address on to a target, which may be empty.
 func NewLink(address, target string) (*Link, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("a link on %s: %w", address, err)
-	}
-	l := &Link{listener: listener, target: target, open: map[*connection]bool{}}
-	go l.accept()
-	return l, nil
+	l := &Link{address: address, open: map[*connection]bool{}}
+	return l, l.Retarget(target)
 }
 
 // Address is where the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
 
-// Retarget sends new connections elsewhere. An empty target resets them.
-func (l *Link) Retarget(target string) {
+// Retarget sends new connections elsewhere. An empty target refuses them.
+func (l *Link) Retarget(target string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.target = target
+	switch {
+	case target == "":
+		return l.refuse()
+	case l.listener == nil:
+		return l.listen()
+	}
+	return nil
+}
+
+// refuse closes the listener. The lock is held.
+func (l *Link) refuse() error {
+	if l.listener == nil {
+		return nil
+	}
+	err := l.listener.Close()
+	l.listener = nil
+	return err
+}
+
+// listen takes connections from now on. The lock is held.
+func (l *Link) listen() error {
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return fmt.Errorf("a link on %s: %w", l.address, err)
+	}
+	// A port that the system has drawn stays the link's.
+	l.listener, l.address = listener, listener.Addr().String()
+	go l.accept(listener)
+	return nil
 }
 
 // Harm begins a fault, also on the open connections.
@@ -101,14 +132,14 @@
 
 // Close ends the link and its connections.
 func (l *Link) Close() error {
-	err := l.listener.Close()
+	err := l.Retarget("")
 	l.Cut()
 	return err
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		near, err := l.listener.Accept()
+		near, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	Spoiled string
 	// Marker is the configuration that a probe asked for, 0 for none.
 	Marker int
+	// Fatal is the number of a request that ends servers, 0 for a sound one.
+	Fatal int
 }
 
 // CallKind is what may be done with a request.
@@ -93,12 +96,16 @@
 	Leaving map[string]time.Time
 	// Starts are when each entry's processes were started.
 	Starts map[int][]time.Time
+	// Ends are the ends of servers under fatal requests, in the order of time.
+	Ends []End
 	// Exits are the ends that were asked for by a planned stop or by nothing.
 	Exits []Exit
 	// Calm is when the last fault was over.
 	Calm time.Time
 	// Reserved are the reservations that stand at the end, by server.
 	Reserved map[string]int
+	// Failure is why the run itself could not go on, if it couldn't.
+	Failure error
 	// Held are the spans in which servers set memory aside, Used the first uses by id.
 	Held []standin.Held
 	Used map[string]time.Time
@@ -136,6 +143,24 @@
 	r.Runs = append(r.Runs, run)
 }
 
+// ranFatal notes a run under which its server ends.
+func (r *Records) ranFatal(id string, slot int, w *standin.Worker) {
+	now := time.Now()
+	r.run(&Run{ID: id, Worker: w.ID, Service: w.Service, Workspace: "press", Slot: slot, Began: now, Ended: now, Remaining: time.Nanosecond, Spoiled: true})
+}
+
+func (r *Records) end(e End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ends = append(r.Ends, e)
+}
+
+func (r *Records) failure(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Failure = errors.Join(r.Failure, err)
+}
+
 // ended notes how a run ended.
 func (r *Records) ended(run *Run, status int) {
 	r.mu.Lock()
--- a/proof/soak/run.go
+++ b/proof/soak/run.go
@@ -19,6 +19,8 @@
 	Calls    int
 	Answered int
 	Runs     int
+	// Ended is how many servers have ended under fatal requests.
+	Ended    int
 	Findings []Finding
 }
 
@@ -36,12 +38,13 @@
 		w.close()
 		return report, err
 	}
-	err = w.play(report.Steps)
+	err = errors.Join(w.play(report.Steps), w.records.Failure)
 	report.Findings = Check(w.records, o.Timed)
 	if report.Failed() {
 		err = errors.Join(err, w.keep(report.Findings))
 	}
 	report.Calls, report.Runs = w.records.counts()
+	report.Ended = len(w.records.Ends)
 	for _, c := range w.records.Calls {
 		if c.Status == 200 {
 			report.Answered++
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -66,8 +66,11 @@
 	// The same faults where two entries read the store for all.
 	shared := runs[0]
 	shared.ChangeBound, shared.Entries = 4*time.Second, 5
-	for _, o := range append(runs, shared) {
-		t.Run(fmt.Sprint(o.Seed, o.ChangeBound), func(t *testing.T) {
+	// The same faults while two requests come again and again that end servers.
+	fatal := runs[0]
+	fatal.Fatal = 2
+	for _, o := range append(runs, shared, fatal) {
+		t.Run(fmt.Sprint(o.Seed, o.ChangeBound, o.Fatal), func(t *testing.T) {
 			t.Parallel()
 			o.Binary, o.Folder = binary, t.TempDir()
 			report, err := Play(o)
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -53,13 +53,15 @@
 	worker  *standin.Worker
 	// misbehaves says that a part of the requests meet some habit.
 	misbehaves bool
-	ending     sync.WaitGroup
+	// ended is the last server that has ended under a fatal request.
+	ended  *standin.Worker
+	ending sync.WaitGroup
 	// busy is held while the server is on its way out and until the next one runs.
 	busy sync.Mutex
 }
 
 // start runs a new server and lists it.
-func (s *slot) start() {
+func (s *slot) start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serial++
@@ -69,24 +71,41 @@
 		s.records.arrival(Arrival{ID: run.ID, Worker: w.ID, Service: w.Service, At: time.Now()})
 	}
 	w.Used = s.records.used
+	w.EndsUnder = func(run standin.Run) bool { return s.endUnder(w, run) }
 	w.Script = func(out http.ResponseWriter, r *http.Request) { s.serve(w, out, r) }
 	s.worker = w
-	s.link.Retarget(w.Address())
+	if err := s.link.Retarget(w.Address()); err != nil {
+		return err
+	}
 	s.store.Put(w.Row("ready"))
+	return nil
 }
 
 // crash ends the server with all that it runs; its row stays for the time being.
 func (s *slot) crash() *standin.Worker {
-	s.mu.Lock()
-	w := s.worker
-	s.mu.Unlock()
-	s.link.Retarget("")
-	s.link.Cut()
+	w := s.current()
+	s.cutOff()
 	w.CloseClientConnections()
 	s.ending.Go(w.Close)
 	return w
 }
 
+// cutOff makes the server's host refuse connections to it, and ends those that there are.
+func (s *slot) cutOff() {
+	// The listener may be closed already, which is what is asked for.
+	_ = s.link.Retarget("")
+	s.link.Cut()
+}
+
+// crashFor ends the server for a while, and starts the next one. The slot is busy.
+func (s *slot) crashFor(length time.Duration) error {
+	gone := s.crash()
+	time.Sleep(min(length, rowLapse))
+	s.unlist(gone)
+	time.Sleep(max(length-rowLapse, 0))
+	return s.start()
+}
+
 // unlist removes a server's row.
 func (s *slot) unlist(w *standin.Worker) {
 	key, _ := w.Row("")
@@ -152,6 +171,7 @@
 }
 
 func (s *slot) close() {
+	s.ending.Wait() // one that ended under a request may be about to start again
 	s.crash()
 	s.ending.Wait()
 }
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -69,7 +69,7 @@
 
 // addSlot adds a backend server: each third one of the plain service.
 func (w *world) addSlot(index int) error {
-	link, err := NewLink("127.0.0.1:0", "")
+	link, err := NewLink(fmt.Sprintf("%s:%d", newHost(), portServer), "")
 	if err != nil {
 		return err
 	}
@@ -79,8 +79,7 @@
 	}
 	s := &slot{index: index, link: link, store: w.store, records: w.records, service: service}
 	w.slots = append(w.slots, s)
-	s.start()
-	return nil
+	return s.start()
 }
 
 func (w *world) addEntry(index int, host string, seeds []string) error {
@@ -144,7 +143,7 @@
 	case step.Kind.onEntry():
 		return w.strikeEntry(step)
 	case step.Kind.onWorker():
-		w.strikeWorker(step, w.slots[step.Target])
+		return w.strikeWorker(step, w.slots[step.Target])
 	default:
 		w.strikeStore(step)
 	}
@@ -184,7 +183,7 @@
 	reuseAfter = 2 * time.Second
 )
 
-func (w *world) strikeWorker(step Step, s *slot) {
+func (w *world) strikeWorker(step Step, s *slot) error {
 	switch step.Kind {
 	case WorkerLink:
 		harm(s.link, step)
@@ -196,37 +195,36 @@
 		s.misbehave(false)
 	default:
 		if !s.busy.TryLock() {
-			return // it is already on its way out
+			return nil // it is already on its way out
 		}
 		defer s.busy.Unlock()
-		w.replaceWorker(step, s)
+		return w.replaceWorker(step, s)
 	}
+	return nil
 }
 
 // replaceWorker ends a server in one of three ways and starts the next one.
-func (w *world) replaceWorker(step Step, s *slot) {
+func (w *world) replaceWorker(step Step, s *slot) error {
 	switch step.Kind {
 	case WorkerCrashed:
-		gone := s.crash()
-		time.Sleep(min(step.For, rowLapse))
-		s.unlist(gone)
-		time.Sleep(max(step.For-rowLapse, 0))
-		s.start()
+		return s.crashFor(step.For)
 	case WorkerLeaves:
 		s.leave()
 		time.Sleep(w.options.ChangeBound + time.Second)
 		s.unlist(s.current())
 		s.crash()
-		s.start()
-	case AddressReused:
-		gone := s.crash()
-		time.Sleep(reuseAfter)
-		w.swapService(s)
-		s.start()
-		// The old row names the same address until it lapses.
-		time.Sleep(rowLapse)
-		s.unlist(gone)
+		return s.start()
+	}
+	gone := s.crash()
+	time.Sleep(reuseAfter)
+	w.swapService(s)
+	if err := s.start(); err != nil {
+		return err
 	}
+	// The old row names the same address until it lapses.
+	time.Sleep(rowLapse)
+	s.unlist(gone)
+	return nil
 }
 
 // leastServers is how many servers each service keeps.
@@ -284,6 +282,9 @@
 
 // call lets the callers of all entries run until the context is over.
 func (w *world) call(ctx context.Context, callers *sync.WaitGroup) {
+	for i := range w.options.Fatal {
+		callers.Go(func() { w.callFatal(ctx, i+1) })
+	}
 	for entry := range w.daemons {
 		for i := range callersOfEntry {
 			c := newCaller(fmt.Sprintf("c%d-%d", entry, i), entry, w.fronts[entry].Address(), w.options.Seed+uint64(entry*100+i), w.records, w.newest)
