A message between entries, or a caller's number, that makes no sense ends no entry

Found: a dispatch with memory held at fewer servers than it names ends the entry that takes it (index out of range where it is booked, outside of any request's handler). Dispatches go to all near entries, and what is open is told anew to those that start, so one such message of a faulty entry would end all of them, again and again. No entry sends one today. Seen red by drawn messages (TestNoMessageOfAnEntryEndsTheProcess). Found beside it: a caller that names more answer tokens than fit an integer makes the sum negative: the request fits any server, and while it runs its server seems to have all memory free for others. Change: messages are checked where they are decoded and refused with the place; numbers of callers are bounded at 2,147,483,647; a duration that overflows is the longest one. Ruled out by the same runs: ends by unknown servers, zones, records, updates, questions for places.

--- a/core/enginemodel/engine.go
+++ b/core/enginemodel/engine.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -98,5 +99,11 @@
 // ReadPerPass is how many prompt tokens a pass with answers reads at the most.
 func (e *Engine) ReadPerPass() int64 { return e.Chunk * int64(e.Stride) }
 
-// Millis turns milliseconds into a duration.
-func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// Millis turns milliseconds into a duration, and what is longer than any into the longest.
+// Otherwise a prompt that no engine could read would seem to be read before it comes.
+func Millis(ms float64) time.Duration {
+	if ms >= float64(math.MaxInt64/time.Millisecond) {
+		return math.MaxInt64
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/core/peering/codec.go
+++ b/core/peering/codec.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"arbutusdeck/core/placement"
 )
 
 // Encode writes a message for the wire. Fields are numbered, so that entries of
@@ -19,11 +21,36 @@
 	return data, nil
 }
 
-// Decode reads a message.
+// Decode reads a message and checks what it tells.
 func Decode(data []byte) (Message, error) {
 	var m Message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	err := cbor.Unmarshal(data, &m)
+	if err == nil {
+		err = m.check()
+	}
+	if err != nil {
 		return Message{}, fmt.Errorf("a message of another entry, %d bytes: %w", len(data), err)
 	}
 	return m, nil
 }
+
+// check returns an error that names the first thing told that makes no sense.
+func (m *Message) check() error {
+	for i := range m.Begun {
+		if err := m.Begun[i].Check(); err != nil {
+			return fmt.Errorf("request %s: %w", m.Begun[i].ID, err)
+		}
+	}
+	if m.Ask != nil {
+		if err := m.Ask.Dispatch.Check(); err != nil {
+			return fmt.Errorf("a question for request %s: %w", m.Ask.Dispatch.ID, err)
+		}
+	}
+	if m.Place != nil {
+		given := placement.Dispatch{Helpers: m.Place.Helpers, Held: m.Place.Held}
+		if err := given.Check(); err != nil {
+			return fmt.Errorf("a place for request %s: %w", m.Place.ID, err)
+		}
+	}
+	return nil
+}
--- a/core/peering/codec_test.go
+++ b/core/peering/codec_test.go
@@ -56,3 +56,23 @@
 	require.NoError(t, err)
 	require.Equal(t, Message{From: "a"}, m)
 }
+
+// An entry with a fault tells of a request with memory at more servers than it names. Entries that
+// took it in ended, all of them, and again after their start: what is open is told anew.
+func TestAMessageThatMakesNoSenseIsRefused(t *testing.T) {
+	for name, breaks := range map[string]func(*Message){
+		"held at fewer servers": func(m *Message) { m.Begun[0].Held = []int64{1} },
+		"negative tokens":       func(m *Message) { m.Begun[0].PromptTokens = -1 },
+		"too many tokens":       func(m *Message) { m.Begun[0].AnswerTokens = 1 << 40 },
+		"too long":              func(m *Message) { m.Begun[0].Life = 1 << 60 },
+		"a question":            func(m *Message) { m.Ask = &Ask{Dispatch: placement.Dispatch{PromptTokens: -1}} },
+		"a place":               func(m *Message) { m.Place = &Place{Held: []int64{1, 2}} },
+	} {
+		m := usualMessage()
+		breaks(&m)
+		data, err := Encode(m)
+		require.NoError(t, err)
+		_, err = Decode(data)
+		require.ErrorContains(t, err, "a message of another entry", name)
+	}
+}
--- a/core/placement/book.go
+++ b/core/placement/book.go
@@ -7,6 +7,7 @@
 package placement
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -37,6 +38,38 @@
 	Life time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// Bounds of what a dispatch may tell.
+const (
+	// maxTokens bounds its tokens, as those that callers name.
+	maxTokens = 1<<31 - 1
+	// maxTime bounds its times: longer than any route waits.
+	maxTime = 24 * time.Hour
+	// maxHelpers is more than engines take, which is sixteen.
+	maxHelpers = 64
+)
+
+// Check returns an error that names the first value that makes no sense. What an entry sends
+// goes to all others: a dispatch of which they can't make sense must not end them all.
+func (d *Dispatch) Check() error {
+	if len(d.Helpers) > maxHelpers {
+		return fmt.Errorf("%d helpers: %d at the most", len(d.Helpers), maxHelpers)
+	}
+	if len(d.Held) > 0 && len(d.Held) != d.parts() {
+		return fmt.Errorf("memory held at %d servers of %d", len(d.Held), d.parts())
+	}
+	for _, tokens := range append([]int64{d.PromptTokens, d.AnswerTokens}, d.Held...) {
+		if tokens < 0 || tokens > maxTokens {
+			return fmt.Errorf("%d tokens: 0 to %d", tokens, maxTokens)
+		}
+	}
+	for _, length := range []time.Duration{d.Gap, d.Target, d.Life} {
+		if length.Abs() > maxTime { // one that has just passed is below 0
+			return fmt.Errorf("a time of %s: %s at the most", length, maxTime)
+		}
+	}
+	return nil
+}
+
 // parts is how many servers read the prompt.
 func (d *Dispatch) parts() int { return len(d.Helpers) + 1 }
 
--- /dev/null
+++ b/entry/gateway/fuzz_test.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"arbutusdeck/core/audit"
+	"arbutusdeck/core/directory"
+	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/parts"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/placement"
+	"arbutusdeck/core/process"
+	"arbutusdeck/core/quarantine"
+	"arbutusdeck/core/routes"
+)
+
+// seedMessages are messages of each kind.
+func seedMessages() []peering.Message {
+	d := placement.Dispatch{ID: "d", Server: "i-0", Helpers: []string{"i-1"}, PromptTokens: 200_000, AnswerTokens: 500, Gap: time.Second, Target: time.Second,
+		Life: time.Minute, Held: []int64{1, 2}}
+	told := peering.Message{Incarnation: "x", Version: 2, Revision: 9, Zone: "here", Members: []peering.ZoneMembers{{Zone: "there", Addresses: []string{"a"}}}}
+	told.SetRoom(0.5)
+	told.SetRecordsSum(7)
+	told.SetStore(peering.StoreState{Reads: true, Age: time.Second})
+	return []peering.Message{told, {Begun: []placement.Dispatch{d}, First: []string{"d"}}, {Ended: []string{"d"}, Unreachable: []string{"i-0"}, Stopping: true},
+		{Ask: &peering.Ask{Service: "engines", Dispatch: d, Remaining: time.Second}}, {Place: &peering.Place{ID: "d", Server: "i-0", Held: []int64{1}}},
+		{Update: &peering.Update{Base: 1, Upto: 3, Servers: []directory.Server{{ID: "i-9", Service: "engines", Address: "127.0.0.1:1", Revision: 3}},
+			Gone: []directory.Gone{{ID: "i-1", Revision: 3}}}},
+		{Records: []quarantine.Record{{Fingerprint: quarantine.Fingerprint{1}, Ended: []uint64{1, 2, 3}, Age: time.Second}, {Cleared: 9}}}}
+}
+
+// FuzzMessagesOfEntries lets an entry take any message. Each one goes to all entries: one that ended
+// the process that takes it would end them all, and again after their start.
+func FuzzMessagesOfEntries(f *testing.F) {
+	for _, m := range seedMessages() {
+		data, err := peering.Encode(m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := peering.Decode(data)
+		if err != nil {
+			return
+		}
+		s := loneEntry(t)
+		keepToLoopback(&m)
+		for range 2 {
+			s.peers.take(time.Now(), m)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.book.Expire(time.Now())
+		s.book.Choose(time.Now(), placement.Query{Servers: s.directory.Available("engines"), Engine: s.table.Load().Service("engines").Engine,
+			PromptTokens: 2000, AnswerTokens: 500, Target: time.Second, Gap: time.Second, Remaining: 10 * time.Second})
+	})
+}
+
+// keepToLoopback lets a message speak of no entry but those of this host.
+func keepToLoopback(m *peering.Message) {
+	m.From, m.Known = "127.0.0.1:1", nil
+	for i := range m.Members {
+		for k := range m.Members[i].Addresses {
+			m.Members[i].Addresses[k] = fmt.Sprintf("127.0.0.1:%d", 2+k%1000)
+		}
+	}
+}
+
+// loneEntry is an entry that knows a configuration and some engines, and runs nothing.
+func loneEntry(t *testing.T) *Server {
+	s := New(Options{Settings: Settings{Name: "entry", Zone: "here", PeerAddress: "127.0.0.1:1001"}, Log: process.Quiet(), Trail: audit.NewTrail(nil, 10)})
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, conn.Close()) })
+	s.peers.conn = conn
+	engine := enginemodel.Engine{Slots: 16, MemoryTokens: 300_000, StepMs: 0.85, StepPerAnswerMs: 0.004, StepPerContextMs: 0.003, ReadPerMs: 177, PairsMs: 0.184,
+		Chunk: 2048, Stride: 51, UsualAnswer: 1600, HopMs: 0.05}
+	table, err := routes.NewTable(routes.Definition{Version: 1, Services: []routes.Service{{Name: "engines", Engine: &engine}}})
+	require.NoError(t, err)
+	s.table.Store(table)
+	for i := range 3 {
+		s.directory.Upsert(directory.Server{ID: fmt.Sprintf("i-%d", i), Service: "engines", Address: "127.0.0.1:1", Zone: "here", Slots: 16, Revision: 1})
+	}
+	s.divide()
+	return s
+}
+
+// extremes are numbers that a message may hold though no entry means them.
+var extremes = []int64{math.MinInt64, -1, 0, 1, 2000, 200_000, 1 << 40, math.MaxInt64}
+
+func drawDispatch(t *rapid.T) placement.Dispatch {
+	number := func(name string) int64 { return rapid.SampledFrom(extremes).Draw(t, name) }
+	servers := rapid.SampledFrom([]string{"", "i-0", "i-1", "i-1@zz", "none"})
+	return placement.Dispatch{ID: rapid.SampledFrom([]string{"", "d", "e"}).Draw(t, "id"), Server: servers.Draw(t, "server"),
+		Helpers: rapid.SliceOfN(servers, 0, 3).Draw(t, "helpers"), Held: rapid.SliceOfN(rapid.SampledFrom(extremes), 0, 5).Draw(t, "held"),
+		PromptTokens: number("prompt"), AnswerTokens: number("answer"), Gap: time.Duration(number("gap")), Target: time.Duration(number("target")),
+		Life: time.Duration(number("life"))}
+}
+
+// An entry of another version, or one with a fault, tells of requests with numbers that make no
+// sense, gives places with more parts than servers, and asks for places for such requests. The
+// process must live: what ends one entry would end all, since all are told.
+func TestNoMessageOfAnEntryEndsTheProcess(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := loneEntry(t)
+		s.divideAlways()
+		now := time.Now()
+		for range rapid.IntRange(1, 4).Draw(r, "messages") {
+			d := drawDispatch(r)
+			place := peering.Place{ID: d.ID, Server: "i-0", Helpers: d.Helpers, Held: d.Held, Predicted: d.Target}
+			m := peering.Message{From: "127.0.0.1:1", Zone: rapid.SampledFrom([]string{"", "here", "there"}).Draw(r, "zone"), Begun: []placement.Dispatch{d},
+				First: []string{d.ID}, Ask: &peering.Ask{Service: "engines", Dispatch: d, Remaining: d.Life, Exclude: d.Helpers}, Place: &place}
+			if rapid.Bool().Draw(r, "ended") {
+				m.Ended = []string{d.ID}
+			}
+			data, err := peering.Encode(m)
+			require.NoError(r, err)
+			read, err := peering.Decode(data)
+			if err != nil {
+				continue
+			}
+			s.peers.take(now, read)
+			if choice, ok := s.choiceOf(*read.Place); ok {
+				held := &reservation{s: s, choice: choice, id: d.ID}
+				held.helpers()
+			}
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(r, "pause")))
+			s.mu.Lock()
+			s.book.Expire(now)
+			s.mu.Unlock()
+		}
+	})
+}
+
+// divideAlways makes an entry keep to the servers of its zone, however few they are.
+func (s *Server) divideAlways() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	division := parts.Division{}
+	division.Update(map[string]int{"here": 1000, "there": 1000}, 2)
+	s.divisions["engines"] = division
+}
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strings"
@@ -586,3 +587,15 @@
 	require.NoError(t, err)
 	require.Contains(t, string(body), "arbutusdeck_requests_complete 1")
 }
+
+// A caller names more answer tokens than there are. With the prompt's they overflowed, and the
+// request fitted any server; while it ran, its server seemed to have all memory free.
+func TestARequestForMoreTokensThanThereAreIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "engines", nil)
+	s := w.serve()
+	r := call(standin.Asking(standin.Call(s.settings.ListenAddress, http.MethodPost, "/stream/", "a", 0, "prompt"), 2000, math.MaxInt64))
+	require.Equal(t, 503, r.status, r.body)
+	require.Zero(t, w.runs())
+}
