The product's own interface refuses prompts under which engines end, at all entries

Change: a host daemon finds out that its engine has ended (its address refuses connections) and says so in the last frame (engine_ended); an entry takes that, or a host daemon that is gone, for an end under a request that had just begun, and decides by the same core/quarantine. Entries tell each other by a call of their own, all at once with news, one at random every two seconds, and all others before they become ready.

--- a/core/execution/outcome.go
+++ b/core/execution/outcome.go
@@ -68,6 +68,7 @@
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeCallerGone       Code = "caller_gone"
 	CodeEngineFailed     Code = "engine_failed"
+	CodeEngineEnded      Code = "engine_ended"
 	CodeCancelled        Code = "cancelled"
 	CodeLeaseExpired     Code = "lease_expired"
 	CodeRevisionBehind   Code = "revision_behind"
--- a/core/wire/client.go
+++ b/core/wire/client.go
@@ -12,6 +12,7 @@
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/netopts"
+	"arbutusdeck/core/quarantine"
 )
 
 // Authorization between daemons.
@@ -74,7 +75,7 @@
 	return client
 }
 
-// peerTimeout bounds the fetch of a snapshot.
+// peerTimeout bounds a call to a peer.
 const peerTimeout = 3 * time.Second
 
 // FetchSnapshot asks a peer for a snapshot above a revision.
@@ -91,6 +92,18 @@
 	return reply.Revision, ToFiles(reply.Files), nil
 }
 
+// ExchangeQuarantine tells another entry what this one remembers of requests under which servers
+// end, and returns what that one does.
+func (d *Dialer) ExchangeQuarantine(ctx context.Context, peer config.Peer, envelope *Envelope, records []quarantine.Record) ([]quarantine.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := NewEntryProtobufClient("http://"+peer.Address, d.http).Quarantine(ctx, &QuarantineExchange{Envelope: envelope, Records: fromRecords(records)})
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", peer.Name, err)
+	}
+	return toRecords(reply.Records), nil
+}
+
 // Authorize lets only daemons that know the secret through.
 func Authorize(secret string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -126,3 +139,16 @@
 	}
 	return reply, nil
 }
+
+// EntryServer answers other entries.
+type EntryServer struct {
+	Envelope func() *Envelope
+	// Exchange takes in what another entry remembers of requests under which servers end, and
+	// returns what this one does.
+	Exchange func(told []quarantine.Record) []quarantine.Record
+}
+
+// Quarantine exchanges what two entries remember.
+func (s *EntryServer) Quarantine(_ context.Context, told *QuarantineExchange) (*QuarantineExchange, error) {
+	return &QuarantineExchange{Envelope: s.Envelope(), Records: fromRecords(s.Exchange(toRecords(told.Records)))}, nil
+}
--- a/core/wire/convert.go
+++ b/core/wire/convert.go
@@ -8,6 +8,7 @@
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routing"
 	"arbutusdeck/core/scheduling"
 )
@@ -151,3 +152,24 @@
 	}
 	return out
 }
+
+func fromRecords(records []quarantine.Record) []*QuarantineRecord {
+	var told []*QuarantineRecord
+	for _, r := range records {
+		told = append(told, &QuarantineRecord{Fingerprint: r.Fingerprint[:], Cleared: r.Cleared, Ended: r.Ended, AgeMs: r.Age.Milliseconds()})
+	}
+	return told
+}
+
+// toRecords passes over records whose fingerprint has another length: they name no request.
+func toRecords(told []*QuarantineRecord) []quarantine.Record {
+	var records []quarantine.Record
+	for _, m := range told {
+		r := quarantine.Record{Cleared: m.Cleared, Ended: m.Ended, Age: time.Duration(m.AgeMs) * time.Millisecond}
+		if len(m.Fingerprint) == len(r.Fingerprint) {
+			copy(r.Fingerprint[:], m.Fingerprint)
+			records = append(records, r)
+		}
+	}
+	return records
+}
--- a/entry/server/api.go
+++ b/entry/server/api.go
@@ -19,6 +19,7 @@
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/frontend"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/wire"
 )
 
@@ -237,6 +238,7 @@
 	}
 	t.options.Deadline, t.offer.DeadlineUnixMs = deadline, deadline.UnixMilli()
 	t.options.Buffered = !parsed.Stream.value
+	t.fingerprint = quarantine.FingerprintOf(c.workspace, http.MethodPost, name, c.r.URL.Path, data)
 	t.body, t.release = asStream(data, parsed.Stream), release
 	t.sink = newWholeSink(c.w, field == "messages")
 	if parsed.Stream.value {
@@ -294,6 +296,9 @@
 
 // admitAndDrive spends the workspace's quota and runs the request.
 func (s *Server) admitAndDrive(c *call, t *task) error {
+	if refusal := s.quarantined(time.Now(), t.fingerprint); refusal != nil {
+		return &refusedError{*refusal}
+	}
 	s.mu.Lock()
 	refusal := s.core.Admit(time.Now(), c.workspace, t.offer.PromptTokens)
 	s.mu.Unlock()
@@ -306,6 +311,9 @@
 	ctx, cancel := context.WithCancel(c.r.Context())
 	defer cancel()
 	conclusion := s.drive(ctx, t)
+	if conclusion.Outcome == execution.Finished && conclusion.Record == nil {
+		s.noteAnswer(t)
+	}
 	s.conclude(t, conclusion)
 	return nil
 }
@@ -401,6 +409,7 @@
 	t.offer.Service, t.offer.DeadlineUnixMs, t.offer.PromptTokens = name, deadline.UnixMilli(), 1
 	t.query.Pool, t.query.PromptTokens = config.ServicePool(name), 1
 	t.path, t.method, t.content = path, http.MethodPost, c.r.Header.Get("Content-Type")
+	t.fingerprint = quarantine.FingerprintOf(c.workspace, http.MethodPost, name, path, data)
 	t.body, t.release, t.sink = data, release, newPassSink(c.w)
 	t.route.Service, t.route.Tokens = name, 1
 	return s.admitAndDrive(c, t)
--- a/entry/server/driver.go
+++ b/entry/server/driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routing"
 	"arbutusdeck/core/wire"
 )
@@ -36,6 +37,8 @@
 	release func()
 	sink    sink
 	route   *Route
+	// fingerprint names the request over all its submissions.
+	fingerprint quarantine.Fingerprint
 }
 
 // driver carries out the actions of one request's core and feeds their results
@@ -129,6 +132,9 @@
 }
 
 func (d *driver) pick(action execution.Pick) execution.Event {
+	if refusal := d.s.quarantined(time.Now(), d.t.fingerprint); refusal != nil {
+		return execution.NoTarget{Refusal: *refusal}
+	}
 	if d.t.home != nil {
 		return execution.Picked{Target: *d.t.home}
 	}
@@ -223,6 +229,9 @@
 	response, err := d.s.Dialer.HTTP().Do(request.WithContext(ctx))
 	if err != nil {
 		ended.Sent = !notSent(err)
+		if action.Resume && isRefused(err) {
+			d.s.noteEnd(d.t, action.Target.Server)
+		}
 		d.streamFailed(action)
 		d.send(ended)
 		return
@@ -273,6 +282,7 @@
 func (d *driver) readFrames(action execution.OpenStream, response *http.Response, idle *time.Timer) bool {
 	reader := wire.NewFrameReader(response.Body)
 	idle.Reset(wire.StreamIdle)
+	answerBegan := time.Time{}
 	for {
 		m, err := reader.Read()
 		if err != nil {
@@ -285,6 +295,12 @@
 			// A refusal to open the stream does not know the request.
 			frame.Request = d.t.options.ID
 		}
+		if endedUnder(frame, answerBegan) {
+			d.s.noteEnd(d.t, action.Target.Server)
+		}
+		if answerBegan.IsZero() && len(frame.Payload) > 0 {
+			answerBegan = time.Now()
+		}
 		d.send(execution.FrameArrived{Frame: frame})
 		if frame.Last {
 			return true
--- a/entry/server/problem.go
+++ b/entry/server/problem.go
@@ -54,7 +54,7 @@
 	execution.CodeKeyInProgress: http.StatusConflict, execution.CodeKeyMismatch: http.StatusUnprocessableEntity,
 	execution.CodeKeyTooOld: http.StatusGone, execution.CodeKeyHomeLost: http.StatusGone, execution.CodeKeyFromFuture: http.StatusBadRequest,
 	execution.CodeWrongIncarnation: http.StatusGone, execution.CodeDeadline: http.StatusGatewayTimeout,
-	execution.CodeConnectionLost: http.StatusBadGateway, execution.CodeEngineFailed: http.StatusBadGateway,
+	execution.CodeConnectionLost: http.StatusBadGateway, execution.CodeEngineFailed: http.StatusBadGateway, execution.CodeEngineEnded: http.StatusBadGateway,
 	execution.CodeCancelled: http.StatusBadGateway,
 }
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +21,7 @@
 	"arbutusdeck/core/membership"
 	"arbutusdeck/core/platform"
 	"arbutusdeck/core/process"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routing"
 	"arbutusdeck/core/wire"
 )
@@ -68,6 +70,10 @@
 	mu    sync.Mutex
 	core  *frontend.Core
 	pause *membership.PauseDetector
+	// watch remembers requests under which servers have ended.
+	watch *quarantine.Watch
+	// met says that this entry has asked the others what they remember.
+	met atomic.Bool
 }
 
 type counters struct {
@@ -84,6 +90,7 @@
 		routes:  &routeLog{},
 		core:    frontend.New(options.Frontend),
 		pause:   membership.NewPauseDetector(pauseLimit),
+		watch:   quarantine.NewWatch(),
 	}
 	s.Base = process.NewBase(process.BaseOptions{
 		Settings: options.Settings.Settings, Log: options.Log, Trail: options.Trail, Platform: options.Platform, Sync: options.Sync,
@@ -123,6 +130,7 @@
 	}
 	t.Go(func() error { return s.Loop.Run(t) })
 	t.Go(s.tickLoop)
+	t.Go(s.exchangeLoop)
 	return nil
 }
 
@@ -130,6 +138,8 @@
 	router := bunrouter.New()
 	peers := s.Peers()
 	router.POST(peers.PathPrefix()+":method", bunrouter.HTTPHandler(peers))
+	entries := wire.NewEntryServer(&wire.EntryServer{Envelope: s.Envelope, Exchange: s.join})
+	router.POST(entries.PathPrefix()+":method", bunrouter.HTTPHandler(entries))
 	return router
 }
 
--- a/entry/server/tick.go
+++ b/entry/server/tick.go
@@ -24,7 +24,7 @@
 	// refreshTicks is the number of ticks between two probes of a random live
 	// server, which keep a view of servers that get no work.
 	refreshTicks = 10
-	// firstRound is how long a starting entry waits for its first probes.
+	// firstRound is how long a starting entry waits for its first probes and for other entries.
 	firstRound = 2 * time.Second
 )
 
@@ -49,8 +49,8 @@
 	}
 }
 
-// becomeReady serves once a configuration is confirmed and at least one server
-// has answered, or the first round of probes is over.
+// becomeReady serves once a configuration is confirmed, at least one server has answered and the
+// other entries were asked what they refuse, or the time for both is over.
 func (s *Server) becomeReady(now, configured time.Time) {
 	if s.Manager().State() != lifecycle.Starting || configured.IsZero() || !s.Loop.Ready() {
 		return
@@ -58,7 +58,7 @@
 	s.mu.Lock()
 	live := s.core.AnyLive()
 	s.mu.Unlock()
-	if live || now.Sub(configured) > firstRound {
+	if live && s.met.Load() || now.Sub(configured) > firstRound {
 		s.Manager().Serve()
 	}
 }
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"arbutusdeck/core/memory"
@@ -168,6 +169,27 @@
 	}
 }
 
+// goneTimeout bounds the look whether an engine is there. It runs on the same host.
+const goneTimeout = 100 * time.Millisecond
+
+// Gone says whether the engine's process has ended: its host refuses connections to its address.
+// One that breaks off an answer, or is full, doesn't.
+func (c *Client) Gone(ctx context.Context) bool {
+	base, err := url.Parse(c.base)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was sent on it.
+	_ = connection.Close()
+	return false
+}
+
 // Cancel ends a stream. It is idempotent.
 func (c *Client) Cancel(ctx context.Context, stream string) error {
 	return c.control(ctx, http.MethodDelete, "/v1/streams/"+url.PathEscape(stream), nil, nil)
--- a/host/server/run.go
+++ b/host/server/run.go
@@ -87,10 +87,7 @@
 }
 
 func (s *Server) callEngine(ctx context.Context, r *run, e backend.Start) error {
-	client := s.engines[e.Engine]
-	if r.offer.Service != "" {
-		client = s.services[r.offer.Service]
-	}
+	client := s.clientOf(r, e.Engine)
 	if client == nil {
 		return engine.ErrNotSent
 	}
@@ -103,6 +100,15 @@
 	return client.Run(ctx, call, func(head engine.Head, data []byte) { s.piece(r, head, data) })
 }
 
+// clientOf returns the client of the engine or plain service that runs an attempt; nil if there is
+// none.
+func (s *Server) clientOf(r *run, engineName string) *engine.Client {
+	if r.offer.Service != "" {
+		return s.services[r.offer.Service]
+	}
+	return s.engines[engineName]
+}
+
 // fence returns the fencing number for a plain service that checks it, or 0. It
 // grows with each start of the daemon: a call of a killed predecessor that
 // arrives late is refused, as the successor's number is higher. The host's clock
@@ -135,6 +141,9 @@
 // finish ends an attempt with the outcome that the engine's call shows.
 func (s *Server) finish(r *run, engineName string, err error) {
 	outcome, refusal := outcomeOf(err)
+	if errors.Is(err, engine.ErrFailed) && s.clientOf(r, engineName).Gone(context.Background()) {
+		refusal = execution.Refusal{Code: execution.CodeEngineEnded, Detail: "the engine ended during the run"}
+	}
 	s.mu.Lock()
 	effects := s.core.Finish(time.Now(), r.offer.Attempt, outcome, refusal, r.keep.answer())
 	s.mu.Unlock()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -26,6 +26,9 @@
 	OrderTime time.Duration
 	// Model and Version are loaded at the start.
 	Model, Version string
+	// EndsUnder says under which prompts the engine's process ends as it begins to run them;
+	// nil for none. It has ended when the call returns.
+	EndsUnder func(prompt []byte) bool
 }
 
 // Server is the HTTP stand-in of one engine. A stream whose caller is gone keeps
@@ -159,6 +162,9 @@
 		return nil
 	}
 	stream, prompt := streamOf(r.Header, body)
+	if s.options.EndsUnder != nil && s.options.EndsUnder(prompt) {
+		panic(http.ErrAbortHandler)
+	}
 	sink, err := s.begin(stream, prompt)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -52,6 +53,8 @@
 	Homes bool
 	// Grouped joins the first engine of each server into a group.
 	Grouped bool
+	// FatalText is part of the prompts under which engines end; empty for none.
+	FatalText string
 }
 
 // DefaultSpec returns a fleet of three servers and two entries.
@@ -74,13 +77,15 @@
 	servers     []*http.Server
 	adminAddrs  map[string]string
 	callerAddrs map[string]string
+	// ended counts the engines that have ended.
+	ended atomic.Int32
 }
 
 // Start starts the stand-ins and publishes a configuration.
 func Start(spec Spec) (*Fleet, error) {
 	f := &Fleet{Spec: spec, Platform: platform.New(), adminAddrs: map[string]string{}, callerAddrs: map[string]string{}}
 	var err error
-	if f.PlatformURL, err = f.serve(f.Platform.Handler()); err != nil {
+	if f.PlatformURL, _, err = f.serve(f.Platform.Handler()); err != nil {
 		return nil, err
 	}
 	for i := range spec.Servers {
@@ -95,30 +100,47 @@
 }
 
 func (f *Fleet) startServer(i int) error {
+	var process atomic.Pointer[http.Server]
 	e := engine.New(engine.Options{Name: ServerName(i), Spec: f.Spec.Engine, Speed: f.Spec.Speed, ChecksFencing: f.Spec.ChecksFencing,
-		OrderTime: f.Spec.OrderTime, Model: Model, Version: Version})
+		OrderTime: f.Spec.OrderTime, Model: Model, Version: Version, EndsUnder: func(prompt []byte) bool { return f.endsUnder(prompt, process.Load()) }})
 	f.Engines = append(f.Engines, e)
-	url, err := f.serve(e.Handler())
+	url, server, err := f.serve(e.Handler())
 	if err != nil {
 		return err
 	}
+	process.Store(server)
 	f.engineURLs = append(f.engineURLs, url)
 	s := service.New(f.Spec.ServiceDelay)
 	f.Services = append(f.Services, s)
-	url, err = f.serve(s)
+	url, _, err = f.serve(s)
 	f.serviceURLs = append(f.serviceURLs, url)
 	return err
 }
 
-func (f *Fleet) serve(handler http.Handler) (string, error) {
+// endsUnder ends an engine if a prompt is one that it doesn't bear: its address refuses
+// connections, and all that it runs is cut off.
+func (f *Fleet) endsUnder(prompt []byte, process *http.Server) bool {
+	if f.Spec.FatalText == "" || !bytes.Contains(prompt, []byte(f.Spec.FatalText)) {
+		return false
+	}
+	f.ended.Add(1)
+	// What can't be closed is closed already.
+	_ = process.Close()
+	return true
+}
+
+// Ended returns how many engines have ended under prompts.
+func (f *Fleet) Ended() int { return int(f.ended.Load()) }
+
+func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", fmt.Errorf("starting a stand-in: %w", err)
+		return "", nil, fmt.Errorf("starting a stand-in: %w", err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	f.servers = append(f.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return "http://" + listener.Addr().String(), nil
+	return "http://" + listener.Addr().String(), server, nil
 }
 
 // Close ends the stand-ins.
