One way to ask whether a process has ended, and files by what they serve

netopts.Refuses asks for entries and host daemons whether an address refuses connections; execution.Quarantined is the one refusal of both ways of serving. Completions and plain services of the callers' interface, and the dispatch of the book, have files of their own; a key's hash of a content is no longer called a fingerprint as well.

--- a/core/execution/outcome.go
+++ b/core/execution/outcome.go
@@ -90,6 +90,13 @@
 	return string(r.Code) + ": " + r.Detail
 }
 
+// Quarantined refuses a request under which servers end, for a time. It is no fault of the caller's
+// that the answer tells: the request is a proper one that the servers can't bear, which a release of
+// theirs may mend.
+func Quarantined(left time.Duration) Refusal {
+	return Refusal{Code: CodeQuarantined, Detail: "backend servers end when they run this request", RetryAfter: left}
+}
+
 // Key is what makes a request idempotent over its resends.
 type Key struct {
 	// ID is the key's text; empty for a request that has none.
--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"arbutusdeck/core/directory"
+	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 )
@@ -50,19 +50,7 @@
 const endTimeout = 100 * time.Millisecond
 
 // hasEnded says whether a server's process is gone: a later start of it is known, or its host
-// refuses connections to its address. A server that breaks off an answer and lives, one that is
-// full, and one that is cut off don't refuse them.
+// refuses connections to its address.
 func (s *Server) hasEnded(ctx context.Context, server directory.Server) bool {
-	if s.superseded(server) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
-	connection, err := newDialer().DialContext(ctx, "tcp", server.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// Nothing was sent on it.
-	_ = connection.Close()
-	return false
+	return s.superseded(server) || netopts.Refuses(ctx, server.Address, endTimeout)
 }
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -20,8 +20,6 @@
 
 // quarantined says whether the request is refused because servers end under it. It is asked
 // before each try, also within an attempt: the third end may have been this attempt's own.
-// The status is that of a service that is unavailable, not of a bad request: the request is a
-// proper one that the servers can't bear, which a release of theirs may mend.
 func (e *exchange) quarantined(now time.Time) (execution.Refusal, bool) {
 	if e.s.remembersNone() {
 		return execution.Refusal{}, false
@@ -34,7 +32,7 @@
 		return execution.Refusal{}, false
 	}
 	e.s.counters.quarantined.Inc(1)
-	return execution.Refusal{Code: execution.CodeQuarantined, Detail: "backend servers end when they run this request", RetryAfter: left}, true
+	return execution.Quarantined(left), true
 }
 
 // remembersNone says whether no request is remembered, so that fingerprints need not be made.
@@ -109,6 +107,9 @@
 // takeRecords takes in what another entry tells of requests under which servers have ended. An
 // entry whose records are others is told those of this one.
 func (p *peerExchange) takeRecords(now time.Time, m peering.Message) {
+	if len(m.Records) == 0 && m.RecordsSum == 0 {
+		return // as most messages, which tell of requests under way
+	}
 	p.s.mu.Lock()
 	p.s.watch.Join(now, m.Records)
 	differ := m.RecordsDiffer(p.s.watch.Sum())
--- a/entry/server/api.go
+++ b/entry/server/api.go
@@ -12,14 +12,11 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/uptrace/bunrouter"
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/execution"
-	"arbutusdeck/core/frontend"
-	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/wire"
 )
 
@@ -31,9 +28,6 @@
 	writeSlack = 10 * time.Second
 )
 
-// maxServicePath bounds the path that is handed on to a plain service.
-const maxServicePath = 2048
-
 // refusedError is a request that the entry itself refuses; nothing was run.
 type refusedError struct{ refusal execution.Refusal }
 
@@ -209,75 +203,6 @@
 	return nil, nil, refuse(codeBadRequest, "%v", err)
 }
 
-// complete serves a completion; field holds the prompt.
-func (s *Server) complete(c *call, field string) error {
-	name, kind, err := c.kindOf(c.r.Header.Get(headerKind))
-	if err != nil {
-		return err
-	}
-	deadline, err := c.deadlineOf(kind.Deadline.D())
-	if err != nil {
-		return err
-	}
-	data, release, err := s.readBody(c)
-	if err != nil {
-		return err
-	}
-	defer release()
-	parsed, prompt, err := parseCompletion(data, field)
-	if err != nil {
-		return refuse(codeBadRequest, "%v", err)
-	}
-	hall := c.snapshot.Halls[kind.Hall]
-	if parsed.Model != "" && parsed.Model != hall.Model {
-		return refuse(codeNotFound, "the request kind %q serves the model %q, not %q", name, hall.Model, parsed.Model)
-	}
-	t, err := s.completionTask(c, name, kind, parsed, prompt, xxhash.Sum64(data))
-	if err != nil {
-		return err
-	}
-	t.options.Deadline, t.offer.DeadlineUnixMs = deadline, deadline.UnixMilli()
-	t.options.Buffered = !parsed.Stream.value
-	t.fingerprint = quarantine.FingerprintOf(c.workspace, http.MethodPost, name, c.r.URL.Path, data)
-	t.body, t.release = asStream(data, parsed.Stream), release
-	t.sink = newWholeSink(c.w, field == "messages")
-	if parsed.Stream.value {
-		t.sink = newPassSink(c.w)
-	}
-	return s.admitAndDrive(c, t)
-}
-
-// completionTask describes a completion to the cores.
-func (s *Server) completionTask(c *call, name string, kind config.Kind, parsed completion, prompt *measured, fingerprint uint64) (*task, error) {
-	tokens := int64(float64(prompt.bytes)/s.options.Settings.BytesPerToken) + 1
-	class, ok := c.snapshot.ClassOf(tokens)
-	if !ok {
-		return nil, refuse(execution.CodeTooLong, "the prompt has about %d tokens, more than every length class takes", tokens)
-	}
-	answer := kind.MaxAnswerTokens
-	if parsed.MaxTokens > 0 {
-		answer = min(answer, parsed.MaxTokens)
-	}
-	key, home, err := s.keyOf(c, "", kind.Hall, fingerprint)
-	if err != nil {
-		return nil, err
-	}
-	t := s.newTask(c, key, home)
-	t.options.Repeatable = kind.Repeatable
-	t.path, t.content, t.method = c.r.URL.Path, "application/json", http.MethodPost
-	t.offer.Kind, t.offer.Hall, t.offer.LengthClass = name, kind.Hall, class
-	t.offer.PromptTokens, t.offer.AnswerTokens, t.offer.Prefix = tokens, answer, prompt.prefix
-	t.query.Rank = c.snapshot.ClassRank(class)
-	t.query.PromptTokens, t.query.AnswerTokens, t.query.Prefix = tokens, answer, prompt.prefix
-	t.route.Kind, t.route.Class, t.route.Tokens = name, class, tokens
-	placement, refusal := frontend.Place(c.snapshot, kind.Hall, tokens+answer)
-	if refusal != nil {
-		return nil, &refusedError{*refusal}
-	}
-	t.query.Pool, t.groups = placement.Pool, placement.Groups
-	return t, nil
-}
-
 func (s *Server) newTask(c *call, key execution.Key, home *execution.Target) *task {
 	t := &task{home: home, release: func() {}}
 	t.options = execution.RequestOptions{ID: c.id, Key: key, KeyFromCaller: !key.None(), MaxResumes: execution.DefaultMaxResumes,
@@ -375,50 +300,3 @@
 		timer.Update(took)
 	}
 }
-
-// service hands a call on to a plain service.
-func (s *Server) service(c *call) error {
-	name := c.r.Param("service")
-	service, ok := c.snapshot.Services[name]
-	if !ok {
-		return refuse(codeNotFound, "no service is named %q", name)
-	}
-	if allowed := c.snapshot.Workspaces[c.workspace].Services; len(allowed) > 0 && !slices.Contains(allowed, name) {
-		return refuse(codeForbidden, "the workspace may not use the service %q", name)
-	}
-	deadline, err := c.deadlineOf(service.Deadline.D())
-	if err != nil {
-		return err
-	}
-	path := "/" + c.r.Param("path")
-	if len(path) > maxServicePath {
-		return refuse(codeBadRequest, "the path has %d bytes, at most %d are taken", len(path), maxServicePath)
-	}
-	data, release, err := s.readBody(c)
-	if err != nil {
-		return err
-	}
-	defer release()
-	fingerprint := fingerprintOf(path, data)
-	key, home, err := s.keyOf(c, name, config.ServicePool(name), fingerprint)
-	if err != nil {
-		return err
-	}
-	t := s.newTask(c, key, home)
-	t.options.Repeatable, t.options.Deadline = service.Repeatable, deadline
-	t.offer.Service, t.offer.DeadlineUnixMs, t.offer.PromptTokens = name, deadline.UnixMilli(), 1
-	t.query.Pool, t.query.PromptTokens = config.ServicePool(name), 1
-	t.path, t.method, t.content = path, http.MethodPost, c.r.Header.Get("Content-Type")
-	t.fingerprint = quarantine.FingerprintOf(c.workspace, http.MethodPost, name, path, data)
-	t.body, t.release, t.sink = data, release, newPassSink(c.w)
-	t.route.Service, t.route.Tokens = name, 1
-	return s.admitAndDrive(c, t)
-}
-
-// fingerprintOf hashes a call's path and body without copying the body.
-func fingerprintOf(path string, body []byte) uint64 {
-	sum := xxhash.New()
-	_, _ = sum.WriteString(path + "\x00")
-	_, _ = sum.Write(body)
-	return sum.Sum64()
-}
--- a/entry/server/driver.go
+++ b/entry/server/driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routing"
 	"arbutusdeck/core/wire"
@@ -229,8 +230,8 @@
 	response, err := d.s.Dialer.HTTP().Do(request.WithContext(ctx))
 	if err != nil {
 		ended.Sent = !notSent(err)
-		if action.Resume && isRefused(err) {
-			d.s.noteEnd(d.t, action.Target.Server)
+		if action.Resume && netopts.IsRefused(err) {
+			d.s.noteEnd(d.t, action.Target.Server) // with the daemon beside it
 		}
 		d.streamFailed(action)
 		d.send(ended)
--- a/entry/server/quarantine.go
+++ b/entry/server/quarantine.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,7 +28,8 @@
 	if left == 0 {
 		return nil
 	}
-	return &execution.Refusal{Code: execution.CodeQuarantined, Detail: "backend servers end when they run this request", RetryAfter: left}
+	refusal := execution.Quarantined(left)
+	return &refusal
 }
 
 // endName names the end of a server. The start of an engine has no name that entries know; it
@@ -151,6 +150,3 @@
 func endedUnder(frame execution.Frame, answerBegan time.Time) bool {
 	return frame.Last && frame.Code == execution.CodeEngineEnded && quarantine.JustBegun(time.Now(), answerBegan)
 }
-
-// isRefused says whether a host refuses connections: the process beside the server is gone.
-func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -13,10 +13,10 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"arbutusdeck/core/memory"
+	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/orders"
 )
 
@@ -173,21 +173,12 @@
 const goneTimeout = 100 * time.Millisecond
 
 // Gone says whether the engine's process has ended: its host refuses connections to its address.
-// One that breaks off an answer, or is full, doesn't.
 func (c *Client) Gone(ctx context.Context) bool {
 	base, err := url.Parse(c.base)
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
-	defer cancel()
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", base.Host)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// Nothing was sent on it.
-	_ = connection.Close()
-	return false
+	return netopts.Refuses(ctx, base.Host, goneTimeout)
 }
 
 // Cancel ends a stream. It is idempotent.
