--- a/core/quarantine/watch.go
+++ b/core/quarantine/watch.go
@@ -28,8 +28,9 @@
 	// request may do to three servers an hour, and a request that servers bear again after
 	// a release is served within the hour.
 	Term = time.Hour
-	// MaxRecords bounds the requests that are remembered: some 100 bytes each. Where half of a
-	// fleet of 135 servers fails at once, some 200 requests have just begun there.
+	// MaxRecords bounds the requests that are remembered, and what an entry is told that has
+	// started, up to 83 bytes each. Where half of a fleet of 135 servers fails at once, some three
+	// requests have just begun at each.
 	MaxRecords = 256
 )
 
--- a/entry/gateway/answers.go
+++ b/entry/gateway/answers.go
@@ -133,7 +133,7 @@
 }
 
 // logTry tells how a try ended. Where the server broke it off, the line names the request as it
-// is named in all its attempts, and says whether the server has ended.
+// is named in all its attempts, and says whether the server has ended if that was looked for.
 func (e *exchange) logTry(result tryResult) {
 	fields := logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
 		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.events, "lastEvent": e.lastEvent}
--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -24,18 +24,18 @@
 }
 
 // lookForEnd finds out whether a try broke off because its server has ended, and remembers the
-// request if it may be the reason.
+// request if it may be the reason. An answer that had come for longer goes on elsewhere at once,
+// without a look: a host that is cut off would hold its caller up.
 func (e *exchange) lookForEnd(ctx context.Context, choice placement.Choice, result *tryResult) {
-	if result.lost == nil || result.conclusion != nil || result.brokenOffHere || isSilence(result.lost) {
+	broke := result.lost != nil && result.conclusion == nil && !result.brokenOffHere && !isSilence(result.lost)
+	if !broke || !quarantine.JustBegun(time.Now(), result.answerBegan) {
 		return
 	}
 	if result.serverEnded = e.s.hasEnded(ctx, choice.Server); !result.serverEnded {
 		return
 	}
 	e.s.counters.serversEnded.Inc(1)
-	if now := time.Now(); quarantine.JustBegun(now, result.answerBegan) {
-		e.noteEnd(now, choice)
-	}
+	e.noteEnd(time.Now(), choice)
 }
 
 // isSilence says whether a connection was given up because nothing came. A process that ends
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -55,15 +55,17 @@
 	record, isNew := e.s.watch.Ended(now, f, start)
 	refused := e.s.watch.Refused(now, f) > 0
 	e.s.mu.Unlock()
+	if !isNew {
+		return
+	}
 	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "fingerprint": f.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
 		Info("a server has ended under a request that had just begun there")
-	if isNew {
-		e.s.peers.tellRecord(record)
-	}
+	e.s.peers.tellRecord(record)
 }
 
-// isExpectedToLive says whether a server has not told that it leaves. One that does ends by
-// itself, whatever it runs; the caller holds the lock.
+// isExpectedToLive says whether a server was there and had not told that it leaves, or has started
+// anew. One that leaves, or whose row was removed, ends by itself, whatever it runs; the caller
+// holds the lock.
 func (s *Server) isExpectedToLive(choice placement.Choice) bool {
 	known, ok := s.directory.Lookup(choice.Server.Start())
 	return s.directory.Superseded(choice.Server.Start()) || ok && !known.Leaving
--- a/entry/server/quarantine.go
+++ b/entry/server/quarantine.go
@@ -44,12 +44,13 @@
 	record, isNew := s.watch.Ended(now, t.fingerprint, endName(server, now))
 	refused := s.watch.Refused(now, t.fingerprint) > 0
 	s.mu.Unlock()
+	if !isNew {
+		return
+	}
 	s.Log.WithFields(logrus.Fields{"request": t.options.ID, "fingerprint": t.fingerprint.String(), "server": server, "ends": len(record.Ended),
 		"refused": refused}).Info("a server has ended under a request that had just begun there")
-	if isNew {
-		s.tellRecords([]quarantine.Record{record})
-	}
-	if isNew && refused {
+	s.tellRecords([]quarantine.Record{record})
+	if refused {
 		s.Audit(audit.Event{Area: audit.Requests, Subject: t.fingerprint.String(), From: "served", To: "refused", Why: "servers ended under it", Source: "message"})
 	}
 }
