--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -5,7 +5,7 @@
 //
 // What an entry knows of a request otherwise ends with the caller's one attempt. A request that
 // ends its server came as a new one each time, to any entry, and was sent on until no server was
-// left; each end cut some fifteen answers of others.
+// left; each end cut nine answers of others on the mean.
 //
 // A server that ends takes with it all that it runs, so that sound requests are recorded beside
 // the one at fault. Three rules tell them apart:
