Find out that a server has ended also where its connection fell silent

Cause, found by reading: behind a link that loses packets no reset is heard, and the end of a server shows as silence. Such ends were not looked for, so a request that ends servers could go on behind such a link. Change: the look goes on beside the request, whose caller goes to another server at once as before. Test red without it.

--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -25,21 +25,32 @@
 
 // lookForEnd finds out whether a try broke off because its server has ended, and remembers the
 // request if it may be the reason. An answer that had come for longer goes on elsewhere at once,
-// without a look: a host that is cut off would hold its caller up.
+// without a look: a host that is cut off would hold its caller up. So does one whose connection
+// fell silent, since its caller has waited long; the look goes on beside it.
 func (e *exchange) lookForEnd(ctx context.Context, choice placement.Choice, result *tryResult) {
-	broke := result.lost != nil && result.conclusion == nil && !result.brokenOffHere && !isSilence(result.lost)
+	broke := result.lost != nil && result.conclusion == nil && !result.brokenOffHere
 	if !broke || !quarantine.JustBegun(time.Now(), result.answerBegan) {
 		return
 	}
-	if result.serverEnded = e.s.hasEnded(ctx, choice.Server); !result.serverEnded {
+	if isSilence(result.lost) {
+		e.fingerprint() // made here, as the request may be over before the look is
+		go e.look(context.Background(), choice)
 		return
 	}
+	result.serverEnded = e.look(ctx, choice)
+}
+
+// look says whether the server of a try has ended, and remembers the request if it has.
+func (e *exchange) look(ctx context.Context, choice placement.Choice) bool {
+	if !e.s.hasEnded(ctx, choice.Server) {
+		return false
+	}
 	e.s.counters.serversEnded.Inc(1)
 	e.noteEnd(time.Now(), choice)
+	return true
 }
 
-// isSilence says whether a connection was given up because nothing came. A process that ends
-// closes its connections; and a caller who has waited that long must not wait for more.
+// isSilence says whether a connection was given up because nothing came.
 func isSilence(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/entry/gateway/ended_test.go
+++ b/entry/gateway/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -9,7 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutusdeck/core/audit"
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/placement"
 	"arbutusdeck/platform/standin"
 )
 
@@ -61,3 +64,19 @@
 	require.Len(t, names, 2)
 	require.Equal(t, names[0], names[1], "both worlds saw the same request")
 }
+
+// A server ends while the link to it loses packets: the entry hears no reset, and gives the
+// connection up in silence. The caller, who has waited long, goes to another server at once; that
+// the first one has ended is found out beside it. A request that ends servers would otherwise go
+// on behind such a link.
+func TestAnEndThatWasSilentIsFoundOutBesideTheRequest(t *testing.T) {
+	f := newFatalFleet(t, 1, "plain", 2, nil)
+	s := f.entries[0]
+	ended := f.workers[0]
+	ended.Crash()
+	e := &exchange{s: s, r: standin.Call(s.settings.ListenAddress, http.MethodGet, "/read/x", "a", 0, "")}
+	result := tryResult{lost: os.ErrDeadlineExceeded}
+	e.lookForEnd(t.Context(), placement.Choice{Server: directory.Server{ID: ended.ID, Address: ended.Address()}}, &result)
+	require.False(t, result.serverEnded, "nobody waits for it")
+	f.eventually("it is remembered", func() bool { return !s.remembersNone() })
+}
--- a/proof/mutations/quarantine_mutations_test.go
+++ b/proof/mutations/quarantine_mutations_test.go
@@ -10,6 +10,7 @@
 	{"entries of other zones are told", "entry/gateway/quarantine.go", "booking{far: p.group.FarZones()}", "booking{}", gatewayPkg, "TestEntriesOfOtherZonesAreTold"},
 	{"a lost record is told again", "entry/gateway/quarantine.go", "	m.SetRecordsSum(s.watch.Sum())\n", "", gatewayPkg, "TestARecordThatIsLost"},
 	{"a server that lives is no end", "core/netopts/refuses.go", "	_ = connection.Close()\n	return false\n", "	_ = connection.Close()\n	return true\n", gatewayPkg, "TestARequestWhoseServersLive"},
+	{"a silent end is found out", "entry/gateway/ended.go", "		go e.look(context.Background(), choice)\n", "", gatewayPkg, "TestAnEndThatWasSilent"},
 	{"a leaving server's end is its own", "entry/gateway/quarantine.go", " || ok && !known.Leaving", " || ok || known.Leaving", gatewayPkg, "TestALeavingServersEnd"},
 	{"callers are told apart", "core/quarantine/fingerprint.go", "[]string{workspace, method, host, uri}", "[]string{method, host, uri}", quarantinePkg, "TestOnlyTheSameRequest"},
 	{"fields are told apart", "core/quarantine/fingerprint.go", "uint64(len(field))", "0", quarantinePkg, "TestOnlyTheSameRequest"},
