--- a/proof/lab/host.go
+++ b/proof/lab/host.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"arbutusdeck/core/backend"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/membership"
 	"arbutusdeck/core/memory"
-	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/orders"
 	"arbutusdeck/standin/engine"
 )
@@ -217,121 +215,6 @@
 	}
 }
 
-// serviceTime is how long a plain service takes.
-const serviceTime = 200 * time.Millisecond
-
-func (h *Host) start(e backend.Start) {
-	h.Starts[e.Attempt]++
-	s := h.streams[e.Attempt]
-	epoch := h.epoch
-	if s.submitted.request.Service != "" {
-		h.lab.After(serviceTime, func() {
-			if epoch == h.epoch {
-				h.reach(func() { h.finishService(e.Attempt, s) })
-			}
-		})
-		return
-	}
-	s.engine = e.Engine
-	eng := h.Engines[e.Engine]
-	if err := h.addStream(e, s); err != nil {
-		h.carryOut(h.Core.Finish(h.lab.Now, e.Attempt, execution.NotRun, execution.Refusal{Code: execution.CodeQueueFull}, execution.Answer{}))
-		return
-	}
-	eng.sinks[string(e.Attempt)] = func(t engine.Token) {
-		if epoch == h.epoch {
-			h.reach(func() { h.token(e.Attempt, s, t) })
-		}
-	}
-	h.kick(eng)
-}
-
-// addStream puts an attempt onto its engine, or onto all engines of its group:
-// those talk to each other without the daemons.
-func (h *Host) addStream(e backend.Start, s *stream) error {
-	r := s.submitted.request
-	whole := engine.Stream{ID: string(e.Attempt), Prompt: r.PromptTokens, Answer: r.AnswerTokens, Priority: e.Priority, Prefix: r.Prefix}
-	if len(e.Group) == 0 {
-		return h.Engines[e.Engine].Model.Add(whole)
-	}
-	whole.Share = 1 / float64(len(e.Group))
-	s.members = nil
-	for _, member := range e.Group {
-		server, name, _ := strings.Cut(member, "/")
-		host := h.lab.Host(server)
-		if err := host.Engines[name].Model.Add(whole); err != nil {
-			s.removeMembers(e.Attempt)
-			return err
-		}
-		s.members = append(s.members, host.Engines[name])
-		host.kick(host.Engines[name])
-	}
-	return nil
-}
-
-func (s *stream) removeMembers(id execution.AttemptID) {
-	for _, e := range s.members {
-		e.Model.Remove(string(id))
-	}
-}
-
-// kick makes an engine's batches go on.
-func (h *Host) kick(e *Engine) {
-	if e.ticking {
-		return
-	}
-	e.ticking = true
-	h.lab.After(e.Model.Step(), func() { h.batch(e) })
-}
-
-func (h *Host) batch(e *Engine) {
-	e.ticking = false
-	for _, token := range e.Model.Batch() {
-		if sink := e.sinks[token.Stream]; sink != nil {
-			sink(token)
-		}
-	}
-	if !e.Model.Idle() {
-		h.kick(e)
-	}
-}
-
-func (h *Host) token(id execution.AttemptID, s *stream, t engine.Token) {
-	if t.Index == 1 {
-		h.carryOut(h.Core.FirstToken(h.lab.Now, id))
-	}
-	if t.Index == 1 || h.lab.TokenFrames {
-		s.writer.Write(fmt.Appendf(nil, "%s/%d", id, t.Index), "text/event-stream", 200)
-		h.push(id, s)
-	}
-	if t.Last {
-		h.removeStream(id, s)
-		h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Finished, execution.Refusal{}, execution.Answer{}))
-	}
-}
-
-func (h *Host) removeStream(id execution.AttemptID, s *stream) {
-	s.removeMembers(id)
-	h.Engines[s.engine].Model.Remove(string(id))
-	delete(h.Engines[s.engine].sinks, string(id))
-}
-
-func (h *Host) finishService(id execution.AttemptID, s *stream) {
-	body := fmt.Appendf(nil, "%s/1", id)
-	s.writer.Write(body, "application/json", 200)
-	h.push(id, s)
-	h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Finished, execution.Refusal{}, execution.Answer{Kept: true, Body: body, Status: 200}))
-}
-
-func (h *Host) stopRun(id execution.AttemptID) {
-	s := h.streams[id]
-	if s == nil || s.engine == "" {
-		return
-	}
-	h.removeStream(id, s)
-	h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Failed, execution.Refusal{Code: execution.CodeEngineFailed}, execution.Answer{}))
-}
-
 func (h *Host) ended(e backend.Ended) {
 	s := h.streams[e.Attempt]
 	if s == nil {
@@ -347,62 +230,6 @@
 	})
 }
 
-// push sends the frames that have not been sent.
-func (h *Host) push(id execution.AttemptID, s *stream) {
-	if !s.attached {
-		return
-	}
-	frames, ended := s.writer.From(s.sent + 1)
-	for _, frame := range frames {
-		s.sent = frame.Sequence
-		h.frame(s, frame)
-	}
-	if ended {
-		s.attached = false
-	}
-}
-
-func (h *Host) frame(s *stream, frame execution.Frame) {
-	kind := "frame"
-	switch {
-	case frame.Last:
-		kind = "last frame"
-	case frame.Sequence == 1:
-		kind = "first frame"
-	case frame.Sequence == 0:
-		kind = "heartbeat"
-	}
-	load := h.Core.Load(h.lab.Now, s.submitted.pool())
-	if h.lab.cuts[link{h.Name, s.entry.Name}] || h.lab.cuts[link{s.entry.Name, h.Name}] {
-		// Without acknowledgements the kernel gives the connection up.
-		h.lab.After(netopts.UserTimeout, func() { h.detach(s) })
-	}
-	h.lab.send(Message{kind, h.Name, s.entry.Name}, func() { s.entry.frame(s.submitted, h, frame, load) }, func() { h.detach(s) })
-}
-
-func (h *Host) detach(s *stream) {
-	if !h.alive || !s.attached {
-		return
-	}
-	s.attached = false
-	for id, other := range h.streams {
-		if other == s {
-			h.reach(func() { h.Core.Detach(h.lab.Now, id) })
-		}
-	}
-}
-
-// breakStream resets a stream's connection.
-func (h *Host) breakStream(id execution.AttemptID, s *stream) {
-	if !s.attached {
-		return
-	}
-	s.attached = false
-	h.lab.send(Message{"reset", h.Name, s.entry.Name}, func() { s.entry.streamEnded(s.submitted, id) }, nil)
-}
-
-// offer, open, resume and cancel serve an entry's messages.
-
 func (h *Host) offer(o backend.Offer, submitted *Submission, e *Entry) backend.Reply {
 	reply := h.Core.Offer(h.lab.Now, o)
 	if reply.Verdict == execution.Accepted && h.streams[o.Attempt] == nil {
@@ -411,37 +238,6 @@
 	return reply
 }
 
-func (h *Host) open(id execution.AttemptID, target execution.Incarnation, submitted *Submission, e *Entry) {
-	s := h.streams[id]
-	if s != nil {
-		s.attached = true
-	}
-	outcome, refusal, effects := h.Core.OpenStream(h.lab.Now, id, target)
-	if refusal != nil {
-		frame := execution.Frame{Request: submitted.id, Attempt: id, Sequence: 1, Last: true, Outcome: outcome, Code: refusal.Code}
-		h.lab.send(Message{"last frame", h.Name, e.Name}, func() { e.frame(submitted, h, frame, h.Core.Load(h.lab.Now, submitted.pool())) }, nil)
-		return
-	}
-	h.heartbeat(id, s)
-	h.carryOut(effects)
-}
-
-// heartbeat shows the entry that the stream is open.
-func (h *Host) heartbeat(id execution.AttemptID, s *stream) {
-	h.frame(s, execution.Frame{Request: s.submitted.id, Attempt: id})
-}
-
-func (h *Host) resume(id execution.AttemptID, from uint64, submitted *Submission, e *Entry) {
-	s := h.streams[id]
-	if s == nil || !h.Core.Attach(id) {
-		h.lab.send(Message{"reset", h.Name, e.Name}, func() { e.streamEnded(submitted, id) }, nil)
-		return
-	}
-	s.attached, s.sent = true, from-1
-	h.heartbeat(id, s)
-	h.push(id, s)
-}
-
 func (h *Host) cancel(request execution.CancelRequest) execution.Outcome {
 	outcome, effects := h.Core.Cancel(h.lab.Now, request)
 	h.carryOut(effects)
--- /dev/null
+++ b/proof/lab/host_engines.go
@@ -0,0 +1,126 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"arbutusdeck/core/backend"
+	"arbutusdeck/core/execution"
+	"arbutusdeck/standin/engine"
+)
+
+// serviceTime is how long a plain service takes.
+const serviceTime = 200 * time.Millisecond
+
+func (h *Host) start(e backend.Start) {
+	h.Starts[e.Attempt]++
+	s := h.streams[e.Attempt]
+	epoch := h.epoch
+	if s.submitted.request.Service != "" {
+		h.lab.After(serviceTime, func() {
+			if epoch == h.epoch {
+				h.reach(func() { h.finishService(e.Attempt, s) })
+			}
+		})
+		return
+	}
+	s.engine = e.Engine
+	eng := h.Engines[e.Engine]
+	if err := h.addStream(e, s); err != nil {
+		h.carryOut(h.Core.Finish(h.lab.Now, e.Attempt, execution.NotRun, execution.Refusal{Code: execution.CodeQueueFull}, execution.Answer{}))
+		return
+	}
+	eng.sinks[string(e.Attempt)] = func(t engine.Token) {
+		if epoch == h.epoch {
+			h.reach(func() { h.token(e.Attempt, s, t) })
+		}
+	}
+	h.kick(eng)
+}
+
+// addStream puts an attempt onto its engine, or onto all engines of its group:
+// those talk to each other without the daemons.
+func (h *Host) addStream(e backend.Start, s *stream) error {
+	r := s.submitted.request
+	whole := engine.Stream{ID: string(e.Attempt), Prompt: r.PromptTokens, Answer: r.AnswerTokens, Priority: e.Priority, Prefix: r.Prefix}
+	if len(e.Group) == 0 {
+		return h.Engines[e.Engine].Model.Add(whole)
+	}
+	whole.Share = 1 / float64(len(e.Group))
+	s.members = nil
+	for _, member := range e.Group {
+		server, name, _ := strings.Cut(member, "/")
+		host := h.lab.Host(server)
+		if err := host.Engines[name].Model.Add(whole); err != nil {
+			s.removeMembers(e.Attempt)
+			return err
+		}
+		s.members = append(s.members, host.Engines[name])
+		host.kick(host.Engines[name])
+	}
+	return nil
+}
+
+func (s *stream) removeMembers(id execution.AttemptID) {
+	for _, e := range s.members {
+		e.Model.Remove(string(id))
+	}
+}
+
+// kick makes an engine's batches go on.
+func (h *Host) kick(e *Engine) {
+	if e.ticking {
+		return
+	}
+	e.ticking = true
+	h.lab.After(e.Model.Step(), func() { h.batch(e) })
+}
+
+func (h *Host) batch(e *Engine) {
+	e.ticking = false
+	for _, token := range e.Model.Batch() {
+		if sink := e.sinks[token.Stream]; sink != nil {
+			sink(token)
+		}
+	}
+	if !e.Model.Idle() {
+		h.kick(e)
+	}
+}
+
+func (h *Host) token(id execution.AttemptID, s *stream, t engine.Token) {
+	if t.Index == 1 {
+		h.carryOut(h.Core.FirstToken(h.lab.Now, id))
+	}
+	if t.Index == 1 || h.lab.TokenFrames {
+		s.writer.Write(fmt.Appendf(nil, "%s/%d", id, t.Index), "text/event-stream", 200)
+		h.push(id, s)
+	}
+	if t.Last {
+		h.removeStream(id, s)
+		h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Finished, execution.Refusal{}, execution.Answer{}))
+	}
+}
+
+func (h *Host) removeStream(id execution.AttemptID, s *stream) {
+	s.removeMembers(id)
+	h.Engines[s.engine].Model.Remove(string(id))
+	delete(h.Engines[s.engine].sinks, string(id))
+}
+
+func (h *Host) finishService(id execution.AttemptID, s *stream) {
+	body := fmt.Appendf(nil, "%s/1", id)
+	s.writer.Write(body, "application/json", 200)
+	h.push(id, s)
+	h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Finished, execution.Refusal{}, execution.Answer{Kept: true, Body: body, Status: 200}))
+}
+
+func (h *Host) stopRun(id execution.AttemptID) {
+	s := h.streams[id]
+	if s == nil || s.engine == "" {
+		return
+	}
+	h.removeStream(id, s)
+	h.carryOut(h.Core.Finish(h.lab.Now, id, execution.Failed, execution.Refusal{Code: execution.CodeEngineFailed}, execution.Answer{}))
+}
--- /dev/null
+++ b/proof/lab/host_streams.go
@@ -0,0 +1,93 @@
+package lab
+
+import (
+	"arbutusdeck/core/execution"
+	"arbutusdeck/core/netopts"
+)
+
+// push sends the frames that have not been sent.
+func (h *Host) push(id execution.AttemptID, s *stream) {
+	if !s.attached {
+		return
+	}
+	frames, ended := s.writer.From(s.sent + 1)
+	for _, frame := range frames {
+		s.sent = frame.Sequence
+		h.frame(s, frame)
+	}
+	if ended {
+		s.attached = false
+	}
+}
+
+func (h *Host) frame(s *stream, frame execution.Frame) {
+	kind := "frame"
+	switch {
+	case frame.Last:
+		kind = "last frame"
+	case frame.Sequence == 1:
+		kind = "first frame"
+	case frame.Sequence == 0:
+		kind = "heartbeat"
+	}
+	load := h.Core.Load(h.lab.Now, s.submitted.pool())
+	if h.lab.cuts[link{h.Name, s.entry.Name}] || h.lab.cuts[link{s.entry.Name, h.Name}] {
+		// Without acknowledgements the kernel gives the connection up.
+		h.lab.After(netopts.UserTimeout, func() { h.detach(s) })
+	}
+	h.lab.send(Message{kind, h.Name, s.entry.Name}, func() { s.entry.frame(s.submitted, h, frame, load) }, func() { h.detach(s) })
+}
+
+func (h *Host) detach(s *stream) {
+	if !h.alive || !s.attached {
+		return
+	}
+	s.attached = false
+	for id, other := range h.streams {
+		if other == s {
+			h.reach(func() { h.Core.Detach(h.lab.Now, id) })
+		}
+	}
+}
+
+// breakStream resets a stream's connection.
+func (h *Host) breakStream(id execution.AttemptID, s *stream) {
+	if !s.attached {
+		return
+	}
+	s.attached = false
+	h.lab.send(Message{"reset", h.Name, s.entry.Name}, func() { s.entry.streamEnded(s.submitted, id) }, nil)
+}
+
+// offer, open, resume and cancel serve an entry's messages.
+
+func (h *Host) open(id execution.AttemptID, target execution.Incarnation, submitted *Submission, e *Entry) {
+	s := h.streams[id]
+	if s != nil {
+		s.attached = true
+	}
+	outcome, refusal, effects := h.Core.OpenStream(h.lab.Now, id, target)
+	if refusal != nil {
+		frame := execution.Frame{Request: submitted.id, Attempt: id, Sequence: 1, Last: true, Outcome: outcome, Code: refusal.Code}
+		h.lab.send(Message{"last frame", h.Name, e.Name}, func() { e.frame(submitted, h, frame, h.Core.Load(h.lab.Now, submitted.pool())) }, nil)
+		return
+	}
+	h.heartbeat(id, s)
+	h.carryOut(effects)
+}
+
+// heartbeat shows the entry that the stream is open.
+func (h *Host) heartbeat(id execution.AttemptID, s *stream) {
+	h.frame(s, execution.Frame{Request: s.submitted.id, Attempt: id})
+}
+
+func (h *Host) resume(id execution.AttemptID, from uint64, submitted *Submission, e *Entry) {
+	s := h.streams[id]
+	if s == nil || !h.Core.Attach(id) {
+		h.lab.send(Message{"reset", h.Name, e.Name}, func() { e.streamEnded(submitted, id) }, nil)
+		return
+	}
+	s.attached, s.sent = true, from-1
+	h.heartbeat(id, s)
+	h.push(id, s)
+}
