A link of the soak waits until its address is free again

A run of 120 entries and 40 servers could not go on: an address on which the link had stopped to listen was still taken. Suspected, not shown by a run: a process that is being started holds a copy of the closed listener until its program is loaded.

--- a/proof/soak/link.go
+++ b/proof/soak/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -93,7 +94,7 @@
 
 // listen takes connections from now on. The lock is held.
 func (l *Link) listen() error {
-	listener, err := net.Listen("tcp", l.address)
+	listener, err := listenAgain(l.address)
 	if err != nil {
 		return fmt.Errorf("a link on %s: %w", l.address, err)
 	}
@@ -103,6 +104,23 @@
 	return nil
 }
 
+// listenPatience is for how long an address may still be taken that was given up before.
+const listenPatience = 2 * time.Second
+
+// listenAgain listens on an address on which this process may just have stopped to. A process that
+// is being started holds a copy of the closed listener until its program is loaded, which takes a
+// while where a hundred are started beside each other.
+func listenAgain(address string) (net.Listener, error) {
+	give := time.Now().Add(listenPatience)
+	for {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(give) {
+			return listener, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Harm begins a fault, also on the open connections.
 func (l *Link) Harm(fault LinkFault) {
 	l.mu.Lock()
