A restarted entry is told at once of requests under which servers end

They had told it all records less than a second before its stop, and tell a member all once a second at the most. Change: the limit begins anew with a member's start.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -145,6 +145,9 @@
 	if sender.Missed {
 		known.untold = false
 	}
+	if sender.Restarted {
+		known.recordsTold = time.Time{} // what the start before was told is lost
+	}
 	if m.Stopping && (!known.stopping || sender.Restarted) {
 		known.stopped = now
 	}
