Loopback hosts of the entry's tests beyond 255, and heartbeats in one file

Tests that were run fifteen times in one process had no host any more. Run so beside ten busy processes, those of requests that end servers are green.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -33,8 +33,8 @@
 // loopbackHost returns a loopback host that no other test uses, so that
 // fixed ports never collide with those of the stand-ins.
 func loopbackHost() string {
-	n := nextHost.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%250, n)
+	n, pid := int(nextHost.Add(1)), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 80+pid%100, (pid/100+n/250)%250, 1+n%250)
 }
 
 type world struct {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -213,6 +213,16 @@
 	p.send(beat.Far, far)
 }
 
+// beat is a heartbeat that tells of some entries, and which requests this one remembers under
+// which servers end.
+func (s *Server) beat(members []peering.ZoneMembers) peering.Message {
+	m := peering.Message{Members: members}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.SetRecordsSum(s.watch.Sum())
+	return m
+}
+
 // noteSilent tells of entries that are no longer heard and of those that are again:
 // choices keep away from their servers meanwhile. Only the heartbeats' loop calls it.
 func (p *peerExchange) noteSilent(silent []string) {
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -127,15 +127,6 @@
 	}
 }
 
-// beat is a heartbeat that tells of some entries.
-func (s *Server) beat(members []peering.ZoneMembers) peering.Message {
-	m := peering.Message{Members: members}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m.SetRecordsSum(s.watch.Sum())
-	return m
-}
-
 // noteQuarantine forgets requests whose term is over, and keeps the trail of those that are
 // refused. Only the tick calls it.
 func (s *Server) noteQuarantine(now time.Time) {
