--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -2,168 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"gopkg.in/tomb.v2"
 
-	"arbutusdeck/core/audit"
-	"arbutusdeck/core/config"
 	"arbutusdeck/core/lifecycle"
-	"arbutusdeck/core/process"
 	"arbutusdeck/platform"
 	"arbutusdeck/platform/standin"
 )
 
-// patience bounds waits for something that has to happen.
-const patience = 20 * time.Second
-
-var nextHost atomic.Int32
-
-// loopbackHost returns a loopback host that no other test uses, so that
-// fixed ports never collide with those of the stand-ins.
-func loopbackHost() string {
-	n, pid := int(nextHost.Add(1)), os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 80+pid%100, (pid/100+n/250)%250, 1+n%250)
-}
-
-type world struct {
-	t       *testing.T
-	store   *standin.Store
-	workers []*standin.Worker
-	version int
-}
-
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: standin.NewStore(), version: 1}
-	t.Cleanup(func() {
-		w.store.Refuse(http.StatusServiceUnavailable)
-		w.store.CloseClientConnections()
-		w.store.Close()
-	})
-	return w
-}
-
-// worker adds a backend server. It must be set up before its row is written.
-func (w *world) worker(id, service string, script http.HandlerFunc) *standin.Worker {
-	worker := standin.NewWorker(id, service)
-	worker.Script = script
-	w.list(worker)
-	return worker
-}
-
-// list writes a backend server's row, and ends it with the test.
-func (w *world) list(worker *standin.Worker) {
-	w.t.Cleanup(worker.Close)
-	w.store.Put(worker.Row("ready"))
-	w.workers = append(w.workers, worker)
-}
-
-func (w *world) configure(change func(map[string]any)) {
-	w.version++
-	configuration := standin.Configuration(w.version)
-	if change != nil {
-		change(configuration)
-	}
-	w.store.Put("op/config", configuration)
-}
-
-func (w *world) settings(seeds ...string) Settings {
-	host := loopbackHost()
-	return Settings{Name: "entry", Zone: "here", ListenAddress: host + ":7801", ReadyAddress: host + ":7802", PeerAddress: host + ":7803",
-		MetricsAddress: host + ":7804", Store: w.store.Address(), Seeds: seeds, MemoryMB: 200, Processors: 2,
-		StopLimit: config.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: config.Duration(10 * time.Second),
-		ReservationIdle: config.Duration(9 * time.Second)}
-}
-
-// start runs an entry until the test ends.
-func (w *world) start(settings Settings) *Server {
-	s := New(Options{Settings: settings, Log: process.Quiet(), Trail: audit.NewTrail(nil, 100)})
-	w.run(s)
-	return s
-}
-
-// run starts an entry that ends with the test.
-func (w *world) run(s *Server) {
-	t := &tomb.Tomb{}
-	t.Go(func() error {
-		<-t.Dying()
-		return nil
-	})
-	require.NoError(w.t, s.Start(t))
-	w.t.Cleanup(func() {
-		t.Kill(nil)
-		require.NoError(w.t, t.Wait())
-	})
-}
-
-// serve runs an entry and waits until it is ready.
-func (w *world) serve() *Server {
-	s := w.start(w.settings())
-	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving && w.known(s) })
-	return s
-}
-
-// known says whether the entry knows all workers and the newest configuration.
-func (w *world) known(s *Server) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.directory.All()) == len(w.workers) && s.table.Load() != nil && s.table.Load().Version() == uint64(w.version)
-}
-
-func (w *world) eventually(what string, holds func() bool) {
-	w.t.Helper()
-	require.Eventually(w.t, holds, patience, 5*time.Millisecond, what)
-}
-
-type reply struct {
-	status    int
-	body      string
-	signature string
-	header    http.Header
-	err       error
-}
-
-var client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}
-
-func call(request *http.Request) reply {
-	response, err := client.Do(request)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, string(body), standin.Signature(response), response.Header, err}
-}
-
-func (w *world) call(s *Server, method, path string, tokens int, body string) reply {
-	return call(standin.Call(s.settings.ListenAddress, method, path, fmt.Sprintf("%x", time.Now().UnixNano()), tokens, body))
-}
-
-func (w *world) runs() int {
-	count := 0
-	for _, worker := range w.workers {
-		count += len(worker.Runs())
-	}
-	return count
-}
-
-func problemOf(t *testing.T, r reply) problem {
-	var p problem
-	require.NoError(t, json.Unmarshal([]byte(r.body), &p), r.body)
-	return p
-}
-
 func TestARequestIsForwardedToTheLetter(t *testing.T) {
 	w := newWorld(t)
 	w.configure(nil)
@@ -339,119 +193,6 @@
 	require.Equal(t, 1, w.runs())
 }
 
-// allReleased says that each reservation that was asked for was also released, and did
-// not just lapse.
-func (w *world) allReleased() bool {
-	for _, worker := range w.workers {
-		open := map[string]bool{}
-		for _, order := range worker.Orders() {
-			open[order.Id] = order.Operation == "reserve"
-		}
-		for _, reserved := range open {
-			if reserved {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// A prompt of 500,000 tokens is held in reservations at several workers, named to
-// the first one with their tickets; all memory is given back afterwards.
-func TestAHugePromptIsHeldInReservations(t *testing.T) {
-	w := newWorld(t)
-	w.configure(nil)
-	for i := range 8 {
-		w.worker(fmt.Sprintf("i-%d", i), "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 2, 0) })
-	}
-	s := w.serve()
-	r := w.call(s, http.MethodPost, "/stream/", 500_000, "prompt")
-	require.Equal(t, 200, r.status, r.body)
-	reserved := int64(0)
-	for _, worker := range w.workers {
-		for _, run := range worker.Runs() {
-			require.Contains(t, run.Helpers, "/")
-			require.True(t, strings.HasPrefix(run.Helpers, worker.Address()+"/"), "its own reservation goes first")
-		}
-		for _, order := range worker.Orders() {
-			if order.Operation == "reserve" {
-				reserved += order.Tokens
-			}
-		}
-	}
-	require.Equal(t, int64(500_500), reserved)
-	w.eventually("all memory is given back", w.allReleased)
-}
-
-// A long prompt is divided over four workers, one of which is dead. The first one
-// refuses and names it; the next try keeps the first one and leaves out the dead.
-func TestADeadHelperIsLeftOut(t *testing.T) {
-	w := newWorld(t)
-	w.configure(nil)
-	var dead atomic.Pointer[standin.Worker]
-	script := standin.HelperGone(func() string { return dead.Load().Address() })
-	for i := range 4 {
-		w.worker(fmt.Sprintf("i-%d", i), "engines", script)
-	}
-	dead.Store(w.workers[3])
-	s := w.serve()
-	for range 6 {
-		r := w.call(s, http.MethodPost, "/stream/", 200_000, "prompt")
-		if r.signature == "signed-by-i-3" {
-			continue // it was chosen as the first, where it answers
-		}
-		require.Equal(t, 200, r.status, r.body)
-	}
-}
-
-// Three of four workers refuse their parts of the memory: what the other one granted
-// is given back at once, and nothing is run.
-func TestRefusedMemoryIsGivenBackByAll(t *testing.T) {
-	w := newWorld(t)
-	w.configure(nil)
-	for i := range 4 {
-		worker := w.worker(fmt.Sprintf("i-%d", i), "engines", nil)
-		if i > 0 {
-			worker.Memory = 1
-		}
-	}
-	s := w.serve()
-	r := w.call(s, http.MethodPost, "/stream/", 500_000, "prompt")
-	require.Equal(t, 503, r.status)
-	require.Zero(t, w.runs())
-	w.eventually("all memory is given back", w.allReleased)
-}
-
-// A prompt of 350,000 tokens is held at a group whose first worker hangs: it grants and
-// renews the memory but never begins to write. Without a bound the memory of all holders
-// would be kept from others until the caller leaves. The entry ends the try, gives the
-// memory back, and another worker answers.
-func TestMemoryThatIsNotUsedIsGivenBack(t *testing.T) {
-	w := newWorld(t)
-	w.configure(nil)
-	var hung atomic.Pointer[string]
-	for i := range 8 {
-		id := fmt.Sprintf("i-%d", i)
-		w.worker(id, "engines", func(out http.ResponseWriter, r *http.Request) {
-			if hung.CompareAndSwap(nil, &id) {
-				<-r.Context().Done()
-				return
-			}
-			standin.Events(out, r, 2, 0)
-		})
-	}
-	settings := w.settings()
-	settings.ReservationIdle = config.Duration(4 * time.Second)
-	s := w.start(settings)
-	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving && w.known(s) })
-	began := time.Now()
-	r := w.call(s, http.MethodPost, "/stream/", 350_000, "prompt")
-	require.Equal(t, 200, r.status, r.body)
-	require.NotEqual(t, "signed-by-"+*hung.Load(), r.signature)
-	require.Less(t, time.Since(began), settings.ReservationIdle.D())
-	w.eventually("all memory is given back", w.allReleased)
-}
-
 // A key is taken away while its caller keeps a connection open: the next request on
 // it is refused. An older configuration that arrives late does not bring it back.
 func TestATakenKeyStaysTaken(t *testing.T) {
