A failing test: ends of servers that come after the entry has given the try up are not seen

A request whose caller leaves before its server ends, or that is moved to another server since its first event is overdue, ends servers of which no entry hears, and nothing bounds how many.

--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -32,6 +33,12 @@
 const otherKey = "key-2"
 
 func newFatalFleet(t *testing.T, entries int, service string, servers int, script http.HandlerFunc) *fatalFleet {
+	return newSlowlyFatalFleet(t, entries, service, servers, script, 0)
+}
+
+// newSlowlyFatalFleet has servers that end a while after they have begun the fatal request,
+// whether its caller is still there or not.
+func newSlowlyFatalFleet(t *testing.T, entries int, service string, servers int, script http.HandlerFunc, after time.Duration) *fatalFleet {
 	f := &fatalFleet{world: newWorld(t)}
 	f.configure(func(c map[string]any) {
 		c["Tenants"] = append(c["Tenants"].([]map[string]any), map[string]any{"Name": "school", "ApiKeys": []string{otherKey}})
@@ -39,7 +46,13 @@
 	for i := range servers {
 		worker := standin.NewWorker(fmt.Sprintf("i-%d", i), service)
 		worker.Script = script
-		worker.EndsUnder = func(run standin.Run) bool { return run.Body == fatal && run.Workspace == "press" }
+		worker.EndsUnder = func(run standin.Run) bool {
+			ends := run.Body == fatal && run.Workspace == "press"
+			if ends {
+				time.Sleep(after)
+			}
+			return ends
+		}
 		f.list(worker)
 	}
 	for range entries {
@@ -77,8 +90,16 @@
 	if method == http.MethodPost && path != "/order/x" {
 		tokens = 2000
 	}
+	return f.sendWithin(patience, s, method, path, key, body, tokens)
+}
+
+// sendWithin sends a request whose caller leaves after a while.
+func (f *fatalFleet) sendWithin(leaves time.Duration, s *Server, method, path, key, body string, tokens int) reply {
+	ctx, cancel := context.WithTimeout(f.t.Context(), leaves)
+	defer cancel()
 	id := fmt.Sprintf("%x", time.Now().UnixNano())
-	return call(standin.WithKey(standin.Call(s.settings.ListenAddress, method, path, id, tokens, body), key))
+	request := standin.WithKey(standin.Call(s.settings.ListenAddress, method, path, id, tokens, body), key)
+	return call(request.WithContext(ctx))
 }
 
 // ended is how many servers have ended.
@@ -156,6 +177,34 @@
 	require.Fail(t, "three servers have to end", "%d have", f.ended())
 }
 
+// A server ends some time after it has begun a request, and nobody waits for its answer any more:
+// the caller has left, or the entry has gone on to another server since the first event was overdue.
+// The entry has closed the connection itself and hears of no end. The request comes again, to any
+// entry, and must be refused once three servers have ended under it; one more may be running it then.
+func TestAnEndThatNobodyWaitsForIsFoundOut(t *testing.T) {
+	const most = 4
+	events := func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 2, 0) }
+	for _, c := range []struct {
+		name        string
+		ends, leave time.Duration
+	}{
+		{"the caller has left", 150 * time.Millisecond, 50 * time.Millisecond},
+		{"the entry has gone on", 500 * time.Millisecond, patience},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newSlowlyFatalFleet(t, 2, "engines", 10, events, c.ends)
+			var last reply
+			for i := range 6 {
+				last = f.sendWithin(c.leave, f.entries[i%2], http.MethodPost, "/stream/x", "key-1", fatal, 2000)
+				time.Sleep(time.Second)
+			}
+			require.LessOrEqual(t, f.ended(), most, "servers that have ended")
+			require.Equal(t, execution.CodeQuarantined, problemOf(t, last).Code)
+		})
+	}
+}
+
 // Servers break off each answer to a request, and live: they fail, or the links do. A request that
 // servers bear must not be refused for it, however often it comes.
 func TestARequestWhoseServersLiveIsNotRefused(t *testing.T) {
