Find out about ends of servers that come after the entry has given the try up

Cause: an end was told by a connection that broke while the entry waited. Where the caller had left, the request's time had passed, or the entry had gone on to another server since the first event was overdue, the entry had closed the connection itself, and nobody heard of the end. Ruled out: a look at once (servers end up to 360 ms after the request was chosen for them, where this was seen). Change: half a second later, when servers must have dropped what nobody waits for, the server's host is asked whether it refuses connections. noteEnd and look are the server's now, since the request is over by then.

--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutusdeck/core/directory"
+	"arbutusdeck/core/execution"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
@@ -23,30 +24,50 @@
 	return e.hash
 }
 
-// lookForEnd finds out whether a try broke off because its server has ended, and remembers the
-// request if it may be the reason. An answer that had come for longer goes on elsewhere at once,
-// without a look: a host that is cut off would hold its caller up. So does one whose connection
-// fell silent, since its caller has waited long; the look goes on beside it.
+// suspect is a request that had just begun at a server which may have ended.
+type suspect struct {
+	id          execution.RequestID
+	fingerprint quarantine.Fingerprint
+}
+
+// lookForEnd finds out whether the server of a try that ended without a whole answer has ended, and
+// remembers the request if it may be the reason. An answer that had come for longer goes on elsewhere at
+// once, without a look: a host that is cut off would hold its caller up. Where the server broke the
+// connection the caller waits for the look, which tells whether the request may be sent on. Where it fell
+// silent the caller has waited long, and the look goes on beside it.
 func (e *exchange) lookForEnd(ctx context.Context, choice placement.Choice, result *tryResult) {
-	broke := result.lost != nil && result.conclusion == nil && !result.brokenOffHere
-	if !broke || !quarantine.JustBegun(time.Now(), result.answerBegan) {
+	if result.lost == nil || !quarantine.JustBegun(time.Now(), result.answerBegan) {
 		return
 	}
-	if isSilence(result.lost) {
-		e.fingerprint() // made here, as the request may be over before the look is
-		go e.look(context.Background(), choice)
-		return
+	of := suspect{e.info.ID, e.fingerprint()}
+	switch {
+	case result.conclusion != nil || result.brokenOffHere:
+		e.s.lookLater(of, choice)
+	case isSilence(result.lost):
+		go e.s.look(context.Background(), of, choice)
+	default:
+		result.serverEnded = e.s.look(ctx, of, choice)
 	}
-	result.serverEnded = e.look(ctx, choice)
+}
+
+// abandonedTime is how long after this side has broken a try off its server is looked at. A server that
+// goes on with a request for which nobody waits any more may end under it, and no connection is left that
+// would break: a request whose callers leave early ended one server after the other. Servers drop within
+// half a second what nobody waits for (the users' bound), so that there is no end to be seen later.
+const abandonedTime = 500 * time.Millisecond
+
+// lookLater looks at a server when it should have dropped the request.
+func (s *Server) lookLater(of suspect, choice placement.Choice) {
+	time.AfterFunc(abandonedTime, func() { s.look(context.Background(), of, choice) })
 }
 
 // look says whether the server of a try has ended, and remembers the request if it has.
-func (e *exchange) look(ctx context.Context, choice placement.Choice) bool {
-	if !e.s.hasEnded(ctx, choice.Server) {
+func (s *Server) look(ctx context.Context, of suspect, choice placement.Choice) bool {
+	if !s.hasEnded(ctx, choice.Server) {
 		return false
 	}
-	e.s.counters.serversEnded.Inc(1)
-	e.noteEnd(time.Now(), choice)
+	s.counters.serversEnded.Inc(1)
+	s.noteEnd(time.Now(), of, choice)
 	return true
 }
 
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -15,7 +15,7 @@
 )
 
 // maxRecords bounds the records of a message so that it stays within one packet of a usual link
-// (1,500 bytes); one with six ends takes some 90 bytes.
+// (1,500 bytes); one with five ends takes some 80 bytes.
 const maxRecords = 12
 
 // quarantined says whether the request is refused because servers end under it. It is asked
@@ -42,25 +42,24 @@
 	return s.watch.Empty()
 }
 
-// noteEnd remembers that a server has ended under the request, and tells all entries: it may
+// noteEnd remembers that a server has ended under a request, and tells all entries: it may
 // come again at any of them.
-func (e *exchange) noteEnd(now time.Time, choice placement.Choice) {
-	f := e.fingerprint()
+func (s *Server) noteEnd(now time.Time, of suspect, choice placement.Choice) {
 	start := choice.Server.Start()
-	e.s.mu.Lock()
-	if !e.s.isExpectedToLive(choice) {
-		e.s.mu.Unlock()
+	s.mu.Lock()
+	if !s.isExpectedToLive(choice) {
+		s.mu.Unlock()
 		return
 	}
-	record, isNew := e.s.watch.Ended(now, f, start)
-	refused := e.s.watch.Refused(now, f) > 0
-	e.s.mu.Unlock()
+	record, isNew := s.watch.Ended(now, of.fingerprint, start)
+	refused := s.watch.Refused(now, of.fingerprint) > 0
+	s.mu.Unlock()
 	if !isNew {
 		return
 	}
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "fingerprint": f.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
+	s.log.WithFields(logrus.Fields{"request": of.id, "fingerprint": of.fingerprint.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
 		Info("a server has ended under a request that had just begun there")
-	e.s.peers.tellRecord(record)
+	s.peers.tellRecord(record)
 }
 
 // isExpectedToLive says whether a server was there and had not told that it leaves, or has started
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -229,12 +229,11 @@
 		f.store.Put(worker.Row("draining"))
 	}
 	f.eventually("the leaving is known", func() bool { return len(f.available(s, "plain")) == 2 })
-	e := &exchange{s: s, r: standin.Call(s.settings.ListenAddress, http.MethodGet, "/read/x", "a", 0, "")}
 	for _, worker := range f.workers[:4] {
-		e.noteEnd(time.Now(), placement.Choice{Server: directory.Server{ID: worker.ID}})
+		s.noteEnd(time.Now(), suspect{id: "a"}, placement.Choice{Server: directory.Server{ID: worker.ID}})
 	}
 	require.True(t, s.remembersNone())
-	e.noteEnd(time.Now(), placement.Choice{Server: directory.Server{ID: f.workers[5].ID}})
+	s.noteEnd(time.Now(), suspect{id: "a"}, placement.Choice{Server: directory.Server{ID: f.workers[5].ID}})
 	require.False(t, s.remembersNone())
 }
 
