Refuse after five ends in any case, not six

Cause, from the soak: two requests ended the same two servers, each hid the other one, and both were refused after six ends only: three sends after the third, the very most that the users allow. A second attempt that is under way as the last server ends would be one too many. Five leave room for it, and are one more than a sound request is sent to. A record takes 76 bytes at the most (encoded once, by hand: 40 with one end, 9 for each further one).

--- a/core/quarantine/watch.go
+++ b/core/quarantine/watch.go
@@ -16,9 +16,10 @@
 	EndsToRefuse = 3
 	// EndsInAnyCase is after how many ends it is refused whatever else ran at these servers.
 	// Two requests at fault that always meet at the same servers would otherwise hide each
-	// other. A sound request is sent to four servers on the users' deployments: two in an
-	// attempt, and its caller repeats it once.
-	EndsInAnyCase = 6
+	// other. The users allow three sends after the third end; one of them is kept for a second
+	// attempt that is under way as the last server ends. A sound request is sent to four servers
+	// on the users' deployments: two in an attempt, and its caller repeats it once.
+	EndsInAnyCase = 5
 	// BeginTime is for how long after its first event a request has just begun. A server that
 	// a request ends does so as it begins to run it: 20 to 110 ms later where this was seen,
 	// before its first event. It is longer by much, since events are late on a busy host, and
@@ -29,7 +30,7 @@
 	// a release is served within the hour.
 	Term = time.Hour
 	// MaxRecords bounds the requests that are remembered, and what an entry is told that has
-	// started, up to 83 bytes each. Where half of a fleet of 135 servers fails at once, some three
+	// started, up to 76 bytes each. Where half of a fleet of 135 servers fails at once, some three
 	// requests have just begun at each.
 	MaxRecords = 256
 )
