The soak plays servers that end a while after they have begun a request, and callers that leave before

Finding, traced:, 'fatal request 3 reached w2-5 long after it had ended 3 servers'. Requests 2 and 3 ran at the same two servers of their service (w2-4, w8-4 and others) when these ended; either may be at fault, and each was sent on up to its sixth end. The users' rule allows three sends more.

--- a/proof/soak/caller.go
+++ b/proof/soak/caller.go
@@ -107,17 +107,25 @@
 }
 
 func (c *caller) do(call *Call, request *http.Request) {
+	leave := time.Duration(0)
+	if kindLeaves(call.Kind) && c.random.Float64() < leaveShare {
+		leave = max(time.Duration(c.random.IntN(leaveSpread))*time.Millisecond, 1)
+	}
+	c.send(call, request, leave)
+}
+
+// send sends a request and leaves after a time, or stays if that is 0.
+func (c *caller) send(call *Call, request *http.Request, leave time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), noAnswer)
 	defer cancel()
-	leave := kindLeaves(call.Kind) && c.random.Float64() < leaveShare
-	if leave {
-		time.AfterFunc(time.Duration(c.random.IntN(leaveSpread))*time.Millisecond, cancel)
+	if leave > 0 {
+		time.AfterFunc(leave, cancel)
 	}
 	call.Began = time.Now()
 	defer func() { call.Ended = time.Now() }()
 	response, err := c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		call.Err, call.Left = err, leave && errors.Is(err, context.Canceled)
+		call.Err, call.Left = err, leave > 0 && errors.Is(err, context.Canceled)
 		return
 	}
 	defer response.Body.Close()
@@ -130,7 +138,7 @@
 	} else {
 		call.readPlain(response.Body)
 	}
-	call.Left = leave && errors.Is(call.Err, context.Canceled)
+	call.Left = leave > 0 && errors.Is(call.Err, context.Canceled)
 }
 
 func kindLeaves(kind CallKind) bool { return kind != Probe && kind != OldKey }
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -150,6 +150,29 @@
 	require.Contains(t, promisesOf(r), sentOn)
 }
 
+// Two requests ended the same servers, and nobody can tell which of them did. Each may be sent three
+// times more, as the users' rule says, and not a fourth time.
+func TestTwoThatHideEachOtherHaveThreeSendsMore(t *testing.T) {
+	r := soundRecords()
+	send := func(number int, id string, at time.Time) {
+		r.Calls = append(r.Calls, Call{ID: id, Kind: Order, Path: "/order/fatal", Fatal: number, Began: at, Ended: at, Wait: time.Second, Status: 502, Whole: true})
+		r.Arrivals = append(r.Arrivals, Arrival{ID: id, Worker: "w-" + id[1:], Service: plain, At: at})
+		r.Runs = append(r.Runs, &Run{ID: id, Worker: "w-" + id[1:], Service: plain, Workspace: "press", Began: at, Ended: at, Remaining: time.Nanosecond, Spoiled: true})
+	}
+	for i := range fatalEnds {
+		id, at := fmt.Sprint("a", i), after(90+float64(i))
+		send(1, id, at)
+		send(2, fmt.Sprint("b", i), at)
+		r.Ends = append(r.Ends, End{Fatal: 1, Worker: "w-" + id[1:], At: at})
+	}
+	for i := range fatalMore {
+		send(1, fmt.Sprint("c1", i), after(103+0.1*float64(i)))
+	}
+	require.NotContains(t, promisesOf(r), sentOn)
+	send(1, "c9", after(104))
+	require.Contains(t, promisesOf(r), sentOn)
+}
+
 // promisesOf are the promises that the records of a run show broken.
 func promisesOf(r *Records) []string {
 	var promises []string
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -37,6 +37,9 @@
 	// Fatal is how many requests come again and again that end each server which begins to run
 	// them.
 	Fatal int
+	// FatalHold is for how long at the most a server runs such a request before it ends. Where it is
+	// positive all callers of every second one leave before. Some ms at least.
+	FatalHold time.Duration
 	// Timed also checks the promises that bound times. They hold on a machine
 	// that is not overloaded.
 	Timed bool
@@ -48,6 +51,9 @@
 const (
 	// DefaultChangeBound is the ChangeBound of the users' smallest deployments.
 	DefaultChangeBound = 2 * time.Second
+	// DefaultFatalHold is longer than entries wait for an overdue first event of a short prompt before
+	// they go on to another server.
+	DefaultFatalHold = 400 * time.Millisecond
 	// stableWindow is how long an entry must have been free of faults for these
 	// bounds to hold; the users' figure.
 	stableWindow = 3 * time.Second
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -46,6 +46,8 @@
 	link    *Link
 	store   *standin.Store
 	records *Records
+	// fatalHold is for how long at the most a fatal request runs before the server ends.
+	fatalHold time.Duration
 
 	mu      sync.Mutex
 	service string
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -77,7 +77,7 @@
 	if index%3 == 2 {
 		service = plain
 	}
-	s := &slot{index: index, link: link, store: w.store, records: w.records, service: service}
+	s := &slot{index: index, link: link, store: w.store, records: w.records, fatalHold: w.options.FatalHold, service: service}
 	w.slots = append(w.slots, s)
 	return s.start()
 }
