--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -39,14 +39,14 @@
 	if result.lost == nil || !quarantine.JustBegun(time.Now(), result.answerBegan) {
 		return
 	}
-	of := suspect{e.info.ID, e.fingerprint()}
+	request := suspect{e.info.ID, e.fingerprint()}
 	switch {
 	case result.conclusion != nil || result.brokenOffHere:
-		e.s.lookLater(of, choice)
+		e.s.lookLater(request, choice)
 	case isSilence(result.lost):
-		go e.s.look(context.Background(), of, choice)
+		go e.s.look(context.Background(), request, choice)
 	default:
-		result.serverEnded = e.s.look(ctx, of, choice)
+		result.serverEnded = e.s.look(ctx, request, choice)
 	}
 }
 
@@ -57,17 +57,17 @@
 const abandonedTime = 500 * time.Millisecond
 
 // lookLater looks at a server when it should have dropped the request.
-func (s *Server) lookLater(of suspect, choice placement.Choice) {
-	time.AfterFunc(abandonedTime, func() { s.look(context.Background(), of, choice) })
+func (s *Server) lookLater(request suspect, choice placement.Choice) {
+	time.AfterFunc(abandonedTime, func() { s.look(context.Background(), request, choice) })
 }
 
 // look says whether the server of a try has ended, and remembers the request if it has.
-func (s *Server) look(ctx context.Context, of suspect, choice placement.Choice) bool {
+func (s *Server) look(ctx context.Context, request suspect, choice placement.Choice) bool {
 	if !s.hasEnded(ctx, choice.Server) {
 		return false
 	}
 	s.counters.serversEnded.Inc(1)
-	s.noteEnd(time.Now(), of, choice)
+	s.noteEnd(time.Now(), request, choice)
 	return true
 }
 
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -44,20 +44,20 @@
 
 // noteEnd remembers that a server has ended under a request, and tells all entries: it may
 // come again at any of them.
-func (s *Server) noteEnd(now time.Time, of suspect, choice placement.Choice) {
+func (s *Server) noteEnd(now time.Time, request suspect, choice placement.Choice) {
 	start := choice.Server.Start()
 	s.mu.Lock()
 	if !s.isExpectedToLive(choice) {
 		s.mu.Unlock()
 		return
 	}
-	record, isNew := s.watch.Ended(now, of.fingerprint, start)
-	refused := s.watch.Refused(now, of.fingerprint) > 0
+	record, isNew := s.watch.Ended(now, request.fingerprint, start)
+	refused := s.watch.Refused(now, request.fingerprint) > 0
 	s.mu.Unlock()
 	if !isNew {
 		return
 	}
-	s.log.WithFields(logrus.Fields{"request": of.id, "fingerprint": of.fingerprint.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
+	s.log.WithFields(logrus.Fields{"request": request.id, "fingerprint": request.fingerprint.String(), "server": start, "ends": len(record.Ended), "refused": refused}).
 		Info("a server has ended under a request that had just begun there")
 	s.peers.tellRecord(record)
 }
--- a/proof/soak/removal_test.go
+++ b/proof/soak/removal_test.go
@@ -44,7 +44,7 @@
 	{"a configuration is in force in time", without("entry/gateway/platformloop.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n")},
 	{"a leaving server gets nothing new", without("core/directory/directory.go", "		if known.Leaving {\n			continue\n", "		if false {\n			continue\n")},
 	{sentOn, without("entry/gateway/run.go", "		if cause, is := e.quarantined(now); is {\n", "		if cause, is := e.quarantined(now); is && cause.Code == \"\" {\n")},
-	{sentOn, without("entry/gateway/ended.go", "		e.s.lookLater(of, choice)\n", "")},
+	{sentOn, without("entry/gateway/ended.go", "		e.s.lookLater(request, choice)\n", "")},
 	{"only a request that ends servers is refused for it", without("core/quarantine/watch.go", "	EndsToRefuse = 3\n", "	EndsToRefuse = 1\n")},
 	{"no process ends by itself", without("entry/gateway/settingsloop.go", "	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds", "	os.Exit(1)\n	s.log.WithFields(logrus.Fields{\"seeds\": settings.Seeds")},
 }
