The soak's bound on answers excuses connections that were silenced while they lay idle

The link from callers to entry 4 was silenced from 12.07 to 14.0 s, and connections that are open then stay so for good. The caller had used its one at 11.3 s and used it again at some 19 s: entry 4 has no line of the request, which never reached it. The users count such silence as a reset of the connection. Callers note for how long their connection lay idle now, and the bound holds from when it was last used; a test holds both sides.

--- a/proof/soak/caller.go
+++ b/proof/soak/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -121,6 +122,7 @@
 	if leave > 0 {
 		time.AfterFunc(leave, cancel)
 	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { call.Idle = got.IdleTime }})
 	call.Began = time.Now()
 	defer func() { call.Ended = time.Now() }()
 	response, err := c.client.Do(request.WithContext(ctx))
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -133,6 +133,20 @@
 	}
 }
 
+// The link of an entry is silenced, and its open connections stay so. A caller who comes seldom uses one
+// of them long after: its request never reaches the entry, which can't answer it. On a connection that
+// was not there yet the bound holds.
+func TestASilencedConnectionExcusesWhoUsesItLater(t *testing.T) {
+	const promise = "an answer or a failure in time"
+	r := soundRecords()
+	r.Calls[0].Ended = r.Calls[0].Began.Add(9 * time.Second)
+	silenced := r.Calls[0].Began.Add(-10 * time.Second)
+	r.Faults = append(r.Faults, Interval{Kind: FrontLink, Target: r.Calls[0].Entry, From: silenced, To: silenced.Add(time.Second)})
+	require.Contains(t, promisesOf(r), promise)
+	r.Calls[0].Idle = 11 * time.Second
+	require.NotContains(t, promisesOf(r), promise)
+}
+
 // A request that ends servers comes seldom. Its third end lies in the calm part, and is no send
 // too many; the next one is.
 func TestTheThirdEndMayComeLate(t *testing.T) {
--- a/proof/soak/check_times.go
+++ b/proof/soak/check_times.go
@@ -73,7 +73,9 @@
 
 func (c *checker) checkAnswered(call *Call) {
 	took := call.Ended.Sub(call.Began)
-	if took > call.Wait+slack && c.inTouch(call.Entry, call.Began, call.Ended) {
+	// A connection that lay idle while its link was silenced brings the entry nothing any more.
+	sound := call.Began.Add(-call.Idle)
+	if took > call.Wait+slack && c.inTouch(call.Entry, sound, call.Ended) {
 		c.found("an answer or a failure in time", "%s took %s of %s (status %d, %v)", call.ID, took.Round(time.Millisecond), call.Wait, call.Status, call.Err)
 	}
 }
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -30,6 +30,8 @@
 	Spoiled string
 	// Marker is the configuration that a probe asked for, 0 for none.
 	Marker int
+	// Idle is for how long its connection had lain idle; 0 for a new one.
+	Idle time.Duration
 	// Fatal is the number of a request that ends servers, 0 for a sound one.
 	Fatal int
 }
