A test of its own that a suspect is not refused for the sake of another

What the safeguard is for are servers that are full; the new test plays that, red without it (refused with queue_full) and green in three runs with it. Only tests changed.

--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -253,6 +253,35 @@
 	}
 }
 
+// Two suspects come at the same moment, and all other servers have more work than they can do in the
+// request's time. The second one is sent to the server of the first, rather than refused.
+func TestASuspectIsNotRefusedForTheSakeOfAnother(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for i := range 2 {
+		w.worker(fmt.Sprintf("i-%d", i), "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) })
+	}
+	s := w.serve()
+	s.mu.Lock()
+	for _, body := range []string{"one", "two"} {
+		f := quarantine.FingerprintOf("press", http.MethodPost, "press.example", "/stream/x", []byte(body))
+		s.watch.Ended(time.Now(), f, "a")
+		s.watch.Ended(time.Now(), f, "b")
+	}
+	server := s.directory.Available("engines")[1]
+	s.mu.Unlock()
+	engine := s.table.Load().Service("engines").Engine
+	for i := range 400 {
+		s.bookBegin(placement.Dispatch{ID: fmt.Sprint(i), Server: server.Start(), PromptTokens: 20_000, AnswerTokens: 400, Target: time.Second, Life: time.Minute},
+			placement.Choice{Server: server}, engine)
+	}
+	for _, body := range []string{"one", "two"} {
+		r := w.call(s, http.MethodPost, "/stream/x", 2000, body)
+		require.Equal(t, 200, r.status, r.body)
+		require.Equal(t, "signed-by-i-0", r.signature)
+	}
+}
+
 // Servers break off each answer to a request, and live: they fail, or the links do. A request that
 // servers bear must not be refused for it, however often it comes.
 func TestARequestWhoseServersLiveIsNotRefused(t *testing.T) {
--- a/proof/mutations/quarantine_mutations_test.go
+++ b/proof/mutations/quarantine_mutations_test.go
@@ -14,7 +14,7 @@
 	{"a silent end is found out", "entry/gateway/ended.go", "		go e.s.look(context.Background(), request, choice)\n", "", gatewayPkg, "TestAnEndThatWasSilent"},
 	{"an end that nobody waits for is found out", "entry/gateway/ended.go", "		e.s.lookLater(request, choice)\n", "", gatewayPkg, "TestAnEndThatNobodyWaitsFor"},
 	{"suspects are kept apart", "entry/gateway/run.go", "if others := e.otherSuspects(now); len(others) > 0 {", "if others := e.otherSuspects(now); len(others) > 1000 {", gatewayPkg, "TestTwoSuspects"},
-	{"one server is better than none", "entry/gateway/run.go", "		if refusal == \"\" {\n			return choice, refusal\n		}\n", "		if true {\n			return choice, refusal\n		}\n", gatewayPkg, "TestTwoSuspects"},
+	{"another suspect's server is better than none", "entry/gateway/run.go", "		if refusal == \"\" {\n			return choice, refusal\n		}\n", "		if true {\n			return choice, refusal\n		}\n", gatewayPkg, "TestASuspectIsNotRefused"},
 	{"suspects are forgotten", "core/quarantine/apart.go", "		if now.Sub(s.at) >= apartTime {", "		if now.Sub(s.at) >= 1000*apartTime {", quarantinePkg, "TestSuspects"},
 	{"a leaving server's end is its own", "entry/gateway/quarantine.go", " || ok && !known.Leaving", " || ok || known.Leaving", gatewayPkg, "TestALeavingServersEnd"},
 	{"callers are told apart", "core/quarantine/fingerprint.go", "[]string{workspace, method, host, uri}", "[]string{method, host, uri}", quarantinePkg, "TestOnlyTheSameRequest"},
