--- a/entry/gateway/ended.go
+++ b/entry/gateway/ended.go
@@ -24,8 +24,8 @@
 	return e.hash
 }
 
-// suspect is a request that had just begun at a server which may have ended.
-type suspect struct {
+// begunRequest is a request that had just begun at a server which may have ended.
+type begunRequest struct {
 	id          execution.RequestID
 	fingerprint quarantine.Fingerprint
 }
@@ -39,7 +39,7 @@
 	if result.lost == nil || !quarantine.JustBegun(time.Now(), result.answerBegan) {
 		return
 	}
-	request := suspect{e.info.ID, e.fingerprint()}
+	request := begunRequest{e.info.ID, e.fingerprint()}
 	switch {
 	case result.conclusion != nil || result.brokenOffHere:
 		e.s.lookLater(request, choice)
@@ -57,12 +57,12 @@
 const abandonedTime = 500 * time.Millisecond
 
 // lookLater looks at a server when it should have dropped the request.
-func (s *Server) lookLater(request suspect, choice placement.Choice) {
+func (s *Server) lookLater(request begunRequest, choice placement.Choice) {
 	time.AfterFunc(abandonedTime, func() { s.look(context.Background(), request, choice) })
 }
 
 // look says whether the server of a try has ended, and remembers the request if it has.
-func (s *Server) look(ctx context.Context, request suspect, choice placement.Choice) bool {
+func (s *Server) look(ctx context.Context, request begunRequest, choice placement.Choice) bool {
 	if !s.hasEnded(ctx, choice.Server) {
 		return false
 	}
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -62,7 +62,7 @@
 
 // noteEnd remembers that a server has ended under a request, and tells all entries: it may
 // come again at any of them.
-func (s *Server) noteEnd(now time.Time, request suspect, choice placement.Choice) {
+func (s *Server) noteEnd(now time.Time, request begunRequest, choice placement.Choice) {
 	start := choice.Server.Start()
 	s.mu.Lock()
 	if !s.isExpectedToLive(choice) {
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// makeSuspects lets two servers have ended under streams with these bodies.
+func (s *Server) makeSuspects(bodies ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, body := range bodies {
+		f := quarantine.FingerprintOf("press", http.MethodPost, "press.example", "/stream/x", []byte(body))
+		s.watch.Ended(time.Now(), f, "a")
+		s.watch.Ended(time.Now(), f, "b")
+	}
+}
+
 // A sound request was beside one at fault when two servers ended, and both come again at the same
 // moment. An answer that is being written draws short ones, so that both would go to its server, and the
 // sound one would be at the next end as well; it must go to another server, and is served there if there
@@ -223,13 +234,7 @@
 				})
 			}
 			s := w.serve()
-			for _, body := range []string{"one", "two"} {
-				f := quarantine.FingerprintOf("press", http.MethodPost, "press.example", "/stream/x", []byte(body))
-				s.mu.Lock()
-				s.watch.Ended(time.Now(), f, "a")
-				s.watch.Ended(time.Now(), f, "b")
-				s.mu.Unlock()
-			}
+			s.makeSuspects("one", "two")
 			replies := map[string]reply{}
 			var mu sync.Mutex
 			var all sync.WaitGroup
@@ -262,12 +267,8 @@
 		w.worker(fmt.Sprintf("i-%d", i), "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) })
 	}
 	s := w.serve()
+	s.makeSuspects("one", "two")
 	s.mu.Lock()
-	for _, body := range []string{"one", "two"} {
-		f := quarantine.FingerprintOf("press", http.MethodPost, "press.example", "/stream/x", []byte(body))
-		s.watch.Ended(time.Now(), f, "a")
-		s.watch.Ended(time.Now(), f, "b")
-	}
 	server := s.directory.Available("engines")[1]
 	s.mu.Unlock()
 	engine := s.table.Load().Service("engines").Engine
@@ -307,10 +308,10 @@
 	}
 	f.eventually("the leaving is known", func() bool { return len(f.available(s, "plain")) == 2 })
 	for _, worker := range f.workers[:4] {
-		s.noteEnd(time.Now(), suspect{id: "a"}, placement.Choice{Server: directory.Server{ID: worker.ID}})
+		s.noteEnd(time.Now(), begunRequest{id: "a"}, placement.Choice{Server: directory.Server{ID: worker.ID}})
 	}
 	require.True(t, s.remembersNone())
-	s.noteEnd(time.Now(), suspect{id: "a"}, placement.Choice{Server: directory.Server{ID: f.workers[5].ID}})
+	s.noteEnd(time.Now(), begunRequest{id: "a"}, placement.Choice{Server: directory.Server{ID: f.workers[5].ID}})
 	require.False(t, s.remembersNone())
 }
 
