Lines name the requests that the exit cuts off, and where they are

A request that was open when the process exited wrote no line, so that the logs could not tell a prompt held back at the entry from an answer in its middle or one whose last bytes were not out. Each open request has a phase now; the exit names those that it cuts, and the line of each change of state tells how many answers are not written to their last byte.

No decision is changed.

--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -13,25 +13,37 @@
 	"arbutusdeck/core/process"
 )
 
-// connections watches the callers' connections that wait for a request, so that
-// idle ones end by the limit of the configuration in force; the limit of
-// http.Server can't change while it serves.
+// connections watches the callers' connections. Those that wait for a request end by the
+// idle limit of the configuration in force; the limit of http.Server can't change while it
+// serves.
 type connections struct {
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
+	// active are those with a request whose answer is not written to its last byte.
+	active map[net.Conn]struct{}
 }
 
 func (c *connections) changed(connection net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state != http.StateIdle {
-		delete(c.idle, connection)
-		return
-	}
 	if c.idle == nil {
-		c.idle = map[net.Conn]time.Time{}
+		c.idle, c.active = map[net.Conn]time.Time{}, map[net.Conn]struct{}{}
+	}
+	delete(c.idle, connection)
+	delete(c.active, connection)
+	switch state {
+	case http.StateActive:
+		c.active[connection] = struct{}{}
+	case http.StateIdle:
+		c.idle[connection] = time.Now()
 	}
-	c.idle[connection] = time.Now()
+}
+
+// countActive counts the connections with an answer that is not written to its last byte.
+func (c *connections) countActive() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.active)
 }
 
 // closeIdle ends the connections that have been idle for longer than a limit.
--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -65,6 +65,7 @@
 	// before one.
 	eventAt    time.Time
 	longestGap time.Duration
+	phase      phaseOf
 }
 
 // serveCaller takes one request from a caller to its final answer.
@@ -78,6 +79,8 @@
 	}
 	s.manager.Join()
 	defer s.manager.End()
+	s.open.add(e)
+	defer s.open.remove(e)
 	if !takes {
 		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeStopping, Detail: "this entry is about to stop", RetryAfter: e.s.returnAfterStop(now)})
 		return
--- /dev/null
+++ b/entry/gateway/open.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// phase is what an open request waits for.
+type phase int32
+
+// Phases of a request, in their order; one that is tried again goes back to placing.
+const (
+	phaseReading   phase = iota // its body
+	phasePlacing                // a server, also while it is held back or another zone is asked
+	phaseReserving              // memory at servers
+	phaseSent                   // a connection to a server, or the first event
+	phaseAnswering              // the rest of the answer
+	phaseReleasing              // the memory of a failed try
+)
+
+var phaseNames = [...]string{"reading", "placing", "reserving", "sent", "answering", "releasing"}
+
+func (p phase) String() string { return phaseNames[p] }
+
+// openRequests are the requests that have come and not ended.
+type openRequests struct {
+	mu  sync.Mutex
+	all map[*exchange]struct{}
+}
+
+func (o *openRequests) add(e *exchange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.all == nil {
+		o.all = map[*exchange]struct{}{}
+	}
+	o.all[e] = struct{}{}
+}
+
+func (o *openRequests) remove(e *exchange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.all, e)
+}
+
+func (o *openRequests) list() []*exchange {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]*exchange, 0, len(o.all))
+	for e := range o.all {
+		list = append(list, e)
+	}
+	return list
+}
+
+// phaseOf is set by the request's own goroutine and read by others.
+type phaseOf struct{ value atomic.Int32 }
+
+func (p *phaseOf) set(to phase) { p.value.Store(int32(to)) }
+func (p *phaseOf) get() phase   { return phase(p.value.Load()) }
+
+// logCut names the requests that the exit cuts off, and where they are.
+func (s *Server) logCut() {
+	for _, e := range s.open.list() {
+		s.log.WithFields(logrus.Fields{"request": e.info.ID, "phase": e.phase.get().String(), "tokens": e.info.PromptTokens,
+			"tookMs": time.Since(e.arrived).Milliseconds()}).Warn("the exit cuts a request off")
+	}
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
 	for {
+		e.phase.set(phasePlacing)
 		now := time.Now()
 		if cause, is := e.quarantined(now); is {
 			e.conclude(e.core.Conclude(cause))
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -60,6 +60,7 @@
 	// readOptions say how this entry takes part in reading the store.
 	readOptions atomic.Pointer[peering.ReadOptions]
 	connections connections
+	open        openRequests
 	peers       *peerExchange
 	tomb        *tomb.Tomb
 	// loaded is the settings as last read; only the settings loop uses it.
@@ -127,13 +128,15 @@
 func (s *Server) Manager() *lifecycle.Manager { return s.manager }
 
 func (s *Server) stateChanged(from, to lifecycle.State) {
-	s.log.WithFields(logrus.Fields{"from": from, "to": to, "open": s.manager.Open()}).Info("state changed")
+	s.log.WithFields(logrus.Fields{"from": from, "to": to, "open": s.manager.Open(), "unwritten": s.connections.countActive()}).Info("state changed")
 	s.audit(audit.Event{Area: audit.Lifecycle, Subject: s.options.Settings.Name, From: string(from), To: string(to), Why: "lifecycle", Source: "process"})
 	switch to {
 	case lifecycle.Serving:
 		s.peers.announce()
 	case lifecycle.Draining:
 		s.beginStop()
+	case lifecycle.Stopped:
+		s.logCut()
 	}
 }
 
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -84,6 +84,7 @@
 		}
 		if began.IsZero() {
 			began = time.Now()
+			e.phase.set(phaseAnswering)
 			progress.first()
 			e.s.bookFirst(progress.booked)
 		}
--- a/entry/gateway/try.go
+++ b/entry/gateway/try.go
@@ -56,6 +56,7 @@
 		return
 	}
 	e.begun = true
+	e.phase.set(phaseAnswering)
 	if e.firstAt.IsZero() {
 		e.firstAt = time.Now()
 	}
@@ -69,6 +70,7 @@
 	defer cancel()
 	defer func() { result.brokenOffHere = sending.Err() != nil && ctx.Err() == nil }()
 	dispatch := e.dispatch(choice)
+	e.phase.set(phaseReserving)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
 	if err != nil {
 		// Another zone's entry that gave the place has it in its book.
@@ -78,6 +80,7 @@
 	defer func() {
 		released := reservation.end()
 		if !result.over {
+			e.phase.set(phaseReleasing)
 			waitReleased(ctx, released)
 		}
 	}()
@@ -87,6 +90,7 @@
 	booked := e.s.bookBegin(dispatch, choice, e.service.Engine)
 	defer e.s.bookEnd(booked)
 	request := e.upstream(sending, choice, reservation)
+	e.phase.set(phaseSent)
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
 		return e.noAnswer(ctx, server.Start(), err)
