A failing test: what waits at the limit of a stop gets no answer

Callers of real entries that are stopped by SIGTERM get EOF, without a status line, after the stop's limit: one whose prompt is held back for the sake of others, one whose request lies at a server that has not begun it, and one whose prompt waits for memory.

--- a/proof/processes/harness_test.go
+++ b/proof/processes/harness_test.go
@@ -205,6 +205,11 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	return readAnswer(response, then)
+}
+
+// readAnswer reads an answer and does something once its first byte is there.
+func readAnswer(response *http.Response, then func()) answer {
 	defer response.Body.Close()
 	first := make([]byte, 1)
 	n, _ := io.ReadFull(response.Body, first)
--- /dev/null
+++ b/proof/processes/stop_test.go
@@ -0,0 +1,101 @@
+package processes
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/platform/standin"
+)
+
+// Times of the stops of these tests.
+const (
+	// shortStop is the time from SIGTERM to SIGKILL where a stop has to come to its limit.
+	shortStop = 4 * time.Second
+	// longPrompt is read for seconds, hugePrompt needs the memory of two servers. Both are in tokens.
+	longPrompt = 150_000
+	hugePrompt = 420_000
+	// shortPrompt and shortAnswer are in tokens.
+	shortPrompt = 2000
+	shortAnswer = 500
+)
+
+// silent is a server's script that begins no answer until the request is given up.
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// beginsOnly is a server's script that writes one event and no more until the request is given up.
+func beginsOnly(out http.ResponseWriter, r *http.Request) {
+	standin.Events(out, r, 1, 0)
+	<-r.Context().Done()
+}
+
+func newWorkers(t *testing.T, count int, script http.HandlerFunc) []*standin.Worker {
+	var workers []*standin.Worker
+	for i := range count {
+		worker := standin.NewWorker(string(rune('a'+i)), "engines")
+		worker.Script = script
+		t.Cleanup(worker.Close)
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+// goStream asks for a stream in the background.
+func (f *forwarding) goStream(id string, prompt, length int64) <-chan answer {
+	result := make(chan answer, 1)
+	go func() { result <- f.stream(0, id, prompt, length, func() {}) }()
+	return result
+}
+
+// An entry is stopped while a request waits: it is held back because it would make others late, lies
+// at a server that has not begun it, or waits for memory. At the stop's limit its caller finds the
+// connection closed without a status line and can't tell whether it ran.
+func TestWhatWaitsAtTheLimitOfAStopGetsAnAnswer(t *testing.T) {
+	spec := forwardingSpec{entries: 1, processors: 1, stopLimit: shortStop}
+	t.Run("held back", func(t *testing.T) {
+		t.Parallel()
+		f := startForwarding(t, spec, newWorkers(t, 1, beginsOnly)...)
+		for range 8 {
+			begun := make(chan struct{})
+			go f.stream(0, "short", shortPrompt, shortAnswer, func() { close(begun) })
+			<-begun
+		}
+		held := f.goStream("long", longPrompt, shortAnswer)
+		time.Sleep(200 * time.Millisecond)
+		f.stop(0)
+		f.isRefused(<-held)
+	})
+	t.Run("at a server", func(t *testing.T) {
+		t.Parallel()
+		workers := newWorkers(t, 1, silent)
+		f := startForwarding(t, spec, workers...)
+		sent := f.goStream("sent", shortPrompt, shortAnswer)
+		f.eventually("it is sent", func() bool { return len(workers[0].Runs()) == 1 })
+		f.stop(0)
+		a := <-sent
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusBadGateway, a.status, a.body)
+		require.Equal(t, "unknown", runOf(t, a))
+	})
+	t.Run("for memory", func(t *testing.T) {
+		t.Parallel()
+		workers := newWorkers(t, 5, silent)
+		for _, worker := range workers {
+			worker.OrderTime = time.Second
+		}
+		f := startForwarding(t, spec, workers...)
+		f.stop(0)
+		time.Sleep(2200 * time.Millisecond) // three tries of 0.6 s each last until after the limit
+		f.isRefused(f.stream(0, "huge", hugePrompt, shortAnswer, func() {}))
+	})
+}
+
+// isRefused holds that a request was refused as not run, with the time to come back.
+func (f *forwarding) isRefused(a answer) {
+	require.NoError(f.t, a.err)
+	require.Equal(f.t, http.StatusServiceUnavailable, a.status, a.body)
+	require.Equal(f.t, "notRun", runOf(f.t, a))
+	require.NotEmpty(f.t, a.header.Get("Retry-After"))
+}
