--- a/entry/gateway/stop_test.go
+++ b/entry/gateway/stop_test.go
@@ -45,6 +45,7 @@
 	connection, err := net.Dial("tcp", s.settings.ListenAddress)
 	require.NoError(t, err)
 	defer connection.Close()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(patience/4)))
 	_, err = fmt.Fprint(connection, "POST /order/x HTTP/1.1\r\nHost: press.example\r\nAuthorization: Bearer key-1\r\nContent-Length: 10\r\n\r\nhalf")
 	require.NoError(t, err)
 	w.eventually("its body is read", func() bool { return s.manager.Open() == 1 })
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -24,6 +24,7 @@
 	r.Starts[0] = []time.Time{began}
 	r.Configs = []ConfigChange{{1, began}, {2, began}, {3, began}}
 	r.Calm = after(100)
+	r.Lives["w"] = &Life{Service: plain, From: began}
 	r.Calls = []Call{{ID: "a", Kind: Order, Path: "/order/x", Began: after(10), Ended: after(10.1), Wait: 2 * time.Second, Status: 200, Signature: "s", Whole: true}}
 	r.Runs = []*Run{{ID: "a", Worker: "w", Service: plain, Workspace: "press", Began: after(10.01), Ended: after(10.09), Status: 200, Remaining: time.Second}}
 	r.Arrivals = []Arrival{{ID: "a", Worker: "w", Service: plain, At: after(10.01)}}
@@ -187,6 +188,22 @@
 	require.Contains(t, promisesOf(r), sentOn)
 }
 
+// Two requests that hide each other end both servers of a service, the last time after all faults. Nobody
+// can be served until one is back; from then on callers have to be.
+func TestRecoveryIsNotAskedForWithoutServers(t *testing.T) {
+	r := soundRecords()
+	r.Calls = append(r.Calls, refusedLate()...)
+	r.Lives["w"].To = after(103.9)
+	r.Lives["v"] = &Life{Service: plain, From: began, To: after(104.05)}
+	r.Lives["u"] = &Life{Service: engines, From: began}
+	require.NotContains(t, promisesOf(r), "recovery")
+	r.Lives["w"].To = after(104.2)
+	require.Contains(t, promisesOf(r), "recovery")
+	r.Lives["w"].To = after(103.9)
+	r.Lives["x"] = &Life{Service: plain, From: after(104)}
+	require.Contains(t, promisesOf(r), "recovery")
+}
+
 // promisesOf are the promises that the records of a run show broken.
 func promisesOf(r *Records) []string {
 	var promises []string
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -100,6 +100,8 @@
 	Starts map[int][]time.Time
 	// Ends are the ends of servers under fatal requests, in the order of time.
 	Ends []End
+	// Lives are the lives of backend servers, by their names.
+	Lives map[string]*Life
 	// Exits are the ends that were asked for by a planned stop or by nothing.
 	Exits []Exit
 	// Calm is when the last fault was over.
@@ -113,6 +115,17 @@
 	Used map[string]time.Time
 }
 
+// Life is how long a backend server could be reached; To is zero while it can.
+type Life struct {
+	Service  string
+	From, To time.Time
+}
+
+// covers says whether the server could be reached at a time.
+func (l *Life) covers(at time.Time) bool {
+	return !l.From.After(at) && (l.To.IsZero() || l.To.After(at))
+}
+
 // Exit is the end of a process that was asked to stop.
 type Exit struct {
 	Entry int
@@ -124,7 +137,22 @@
 }
 
 func newRecords() *Records {
-	return &Records{Leaving: map[string]time.Time{}, Starts: map[int][]time.Time{}, Reserved: map[string]int{}, Used: map[string]time.Time{}}
+	return &Records{Leaving: map[string]time.Time{}, Starts: map[int][]time.Time{}, Reserved: map[string]int{}, Used: map[string]time.Time{}, Lives: map[string]*Life{}}
+}
+
+// lives notes that a backend server can be reached, gone that it can't any more.
+func (r *Records) lives(worker, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Lives[worker] = &Life{Service: service, From: time.Now()}
+}
+
+func (r *Records) gone(worker string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if life := r.Lives[worker]; life != nil && life.To.IsZero() {
+		life.To = time.Now()
+	}
 }
 
 func (r *Records) call(c Call) {
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -80,6 +80,7 @@
 		return err
 	}
 	s.store.Put(w.Row("ready"))
+	s.records.lives(w.ID, w.Service)
 	return nil
 }
 
@@ -94,6 +95,7 @@
 
 // cutOff makes the server's host refuse connections to it, and ends those that there are.
 func (s *slot) cutOff() {
+	s.records.gone(s.current().ID)
 	// The listener may be closed already, which is what is asked for.
 	_ = s.link.Retarget("")
 	s.link.Cut()
