A failing test: an entry that stops takes answers that outlast it

A real entry takes a request 1 s after SIGTERM whose answer is written for 3.4 s, and exits 2.6 s later. Its caller gets 200, one event and a closed connection, though another entry would have served it.

--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -139,3 +139,24 @@
 	all.Wait()
 	return int(cut.Load())
 }
+
+// Callers of streams got status 200 and some events, and then the connection was closed. Their requests had
+// come to an entry after its SIGTERM.
+func TestAStoppingEntryTakesNoAnswerThatOutlastsIt(t *testing.T) {
+	t.Parallel()
+	const longAnswer = 4000 // tokens; written for 3.4 s, when the entry has 2.6 s left
+	f := startForwarding(t, forwardingSpec{entries: 2, processors: 1, stopLimit: shortStop}, newWorkers(t, 1, func(out http.ResponseWriter, r *http.Request) {
+		standin.Events(out, r, 1, 0)
+		if r.Header.Get("Attempt-Id") == "long" {
+			<-r.Context().Done()
+		}
+	})...)
+	f.stop(0)
+	time.Sleep(time.Second)
+	short := f.stream(0, "short", shortPrompt, shortAnswer, func() {})
+	require.NoError(t, short.err)
+	require.Equal(t, http.StatusOK, short.status, short.body)
+	long := f.stream(0, "long", shortPrompt, longAnswer, func() {})
+	f.isRefused(long)
+	require.Equal(t, "0.05", long.header.Get("Retry-After"), "the other entry takes it at once")
+}
