Refuse answers that would outlast an entry that stops

Callers saw: status 200, some events, and a closed connection 7.6 s after SIGTERM to their entry. Cause: for 2.8 s after SIGTERM an entry takes new requests, and later it sends those again that failed, as if it lived on. What takes longer than the rest of its life was cut, while other entries would have served it. Ruled out: servers that broke off (they were at work until the connection was closed). Change: an entry that stops knows how long it lives (core/placement, Query.Life). Where no other entry serves none is refused for it. An entry that has no time left asks no other zone for a place. The real entry's test is green, red before. Left: an answer much longer than its caller's estimate is still cut at the limit.

--- a/core/enginemodel/engine.go
+++ b/core/enginemodel/engine.go
@@ -96,6 +96,13 @@
 	return float64(e.Stride) * step
 }
 
+// AnswerMs is the time in which an answer of some tokens is written beside the others of the batch, if
+// nothing is read meanwhile.
+func (e *Engine) AnswerMs(tokens int64, batch Batch) float64 {
+	passes := math.Ceil(float64(tokens) / float64(e.Stride))
+	return passes * e.PassMs(batch)
+}
+
 // ReadPerPass is how many prompt tokens a pass with answers reads at the most.
 func (e *Engine) ReadPerPass() int64 { return e.Chunk * int64(e.Stride) }
 
--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -11,6 +11,16 @@
 	return q.PromptTokens <= b.options.ShortTokens && best.slotsTaken && best.Predicted > limit && q.Target > time.Millisecond
 }
 
+// answerSpread is how much longer than expected an answer may take: callers' estimates of its length are
+// often off by as much, and reads beside it make passes longer.
+const answerSpread = 2
+
+// outlasts says whether an answer may not be over when the entry that asks ends. Another entry can write
+// it to its end; here it would be cut off.
+func outlasts(best Choice, q Query) bool {
+	return q.Life > 0 && best.Predicted+answerSpread*best.Answering > q.Life
+}
+
 // crowdsOut says whether a late long prompt that can wait no longer would cost others more
 // than its late answer is worth. At the end of its time it would otherwise be read on up to
 // all servers at once, and every answer that is written there pauses until it is read.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -28,6 +28,8 @@
 	HoldLimit time.Duration
 	// Remaining is the time that the request has left.
 	Remaining time.Duration
+	// Life is how long the entry that asks still runs; 0 if its end is not known.
+	Life time.Duration
 	// Tie is a random number from 0 to 1 that breaks ties between equal servers,
 	// so that entries without news of each other don't all choose the same.
 	Tie float64
@@ -42,6 +44,8 @@
 	Held []int64
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
+	// Answering is the expected time from the first event to the last one.
+	Answering time.Duration
 	// Loss is the expected loss of the request and of others, for the log.
 	Loss float64
 	// RetryAfter is when a refused caller should come back.
@@ -84,6 +88,8 @@
 	// Overloaded: all slots are taken and a short answer would be late; it would
 	// make the next ones late as well.
 	Overloaded Refusal = "overloaded"
+	// Outlasts: the answer would not be over when the entry that asks ends.
+	Outlasts Refusal = "outlasts"
 )
 
 // candidate is a server during one choice.
@@ -126,6 +132,9 @@
 	if refusal == "" && best.Predicted > q.Remaining {
 		return best, TooLate
 	}
+	if refusal == "" && outlasts(best, q) {
+		return best, Outlasts
+	}
 	if refusal == "" && b.overloaded(best, q) {
 		return best, Overloaded
 	}
@@ -231,6 +240,14 @@
 	}
 }
 
+// answering is the expected time in which the server writes the answer, beside those that it writes.
+func (c *candidate) answering(q Query, parts int) time.Duration {
+	batch := c.batch
+	batch.Answers++
+	batch.ContextTokens += q.PromptTokens / int64(parts)
+	return enginemodel.Millis(q.Engine.AnswerMs(q.AnswerTokens, batch) * c.state.trust.slowness())
+}
+
 func (c *candidate) known(now time.Time) Known {
 	known := Known{BacklogMs: c.backlogMs, Requests: c.requests}
 	if !c.state.newsAt.IsZero() {
@@ -273,6 +290,7 @@
 		choice.Helpers = append(choice.Helpers, c.Server)
 	}
 	choice.Predicted = enginemodel.Millis(slowest) + b.options.NetworkTime
+	choice.Answering = chosen[0].answering(q, parts)
 	if held != nil && q.HoldLimit > 0 && choice.Predicted > q.HoldLimit {
 		return Choice{}, false
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -205,6 +205,27 @@
 	require.Greater(t, choice.Predicted, 450*time.Millisecond)
 }
 
+// An entry is about to end. A request is refused whose answer may take longer than that, also one whose
+// server writes slowly beside others; without an end in sight all are taken.
+func TestAnAnswerThatMayOutlastTheEntryIsRefused(t *testing.T) {
+	b, servers := newBook(), fleet(1)
+	q := shortQuery(servers)
+	q.Life = 4 * time.Second
+	choice := choose(t, b, q)
+	require.InDelta(t, 32*51*0.85, choice.Answering.Milliseconds(), 100, "1,600 tokens are 32 passes of 51 steps")
+	q.Life = choice.Predicted + 2*choice.Answering - time.Millisecond
+	_, refusal := b.Choose(start, q)
+	require.Equal(t, Outlasts, refusal)
+	q.Life = 4 * time.Second
+	for i := range 8 {
+		write(b, fmt.Sprint("long", i), "s00", longQuery(servers, 30_000))
+	}
+	_, refusal = b.Choose(start, q)
+	require.Equal(t, Outlasts, refusal)
+	q.Life = 0
+	choose(t, b, q)
+}
+
 func TestWhatCanNotBeInTimeIsRefusedAtOnce(t *testing.T) {
 	q := longQuery(fleet(1), 250_000)
 	q.Remaining = 2 * time.Second
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -118,6 +118,19 @@
 	return wait + time.Duration(s.random01()*float64(wait)/4)
 }
 
+// life is how long this entry still runs, once it stops and another entry serves; 0 otherwise. Where none
+// does, an answer that may be cut off is better than none.
+func (s *Server) life(now time.Time) time.Duration {
+	since := s.stopping.Load()
+	if since == nil {
+		return 0
+	}
+	if wait, known := s.peers.nextServing(now, s.StopLimit()); !known || wait > 0 {
+		return 0
+	}
+	return max(since.Add(s.StopLimit()).Sub(now), time.Nanosecond)
+}
+
 // StopLimit is how long a planned stop waits for open requests.
 func (s *Server) StopLimit() time.Duration {
 	return max(s.settings.StopLimit.D()-stopMargin, stopMargin)
--- a/entry/gateway/crossing.go
+++ b/entry/gateway/crossing.go
@@ -54,7 +54,7 @@
 
 // mayCross says whether the own zone has no good place for the request.
 func (e *exchange) mayCross(now time.Time, choice placement.Choice, refusal placement.Refusal) bool {
-	if e.service.Engine == nil || now.Sub(e.askedAt) < askPause {
+	if e.service.Engine == nil || now.Sub(e.askedAt) < askPause || refusal == placement.Outlasts {
 		return false
 	}
 	return refusal != "" || choice.Unreachable || choice.Predicted > e.route.Target-now.Sub(e.arrived)
--- a/entry/gateway/entries_test.go
+++ b/entry/gateway/entries_test.go
@@ -109,6 +109,41 @@
 	require.Equal(t, 12, own)
 }
 
+// serveTwo runs two entries, the first of which knows that callers reach the second.
+func (w *world) serveTwo() (first, second *Server) {
+	first = w.serve()
+	second = w.start(w.settings(first.settings.PeerAddress))
+	w.eventually("the second serves", func() bool { return second.manager.State() == lifecycle.Serving })
+	w.eventually("the first hears it", func() bool {
+		wait, known := first.peers.nextServing(time.Now(), first.StopLimit())
+		return known && wait == 0
+	})
+	return first, second
+}
+
+// An entry stops, and a request comes whose answer would take longer than the entry still lives. It is
+// refused, since another entry serves. Once that one stops as well it is taken: an answer that may be cut
+// off is better than none.
+func TestAnEntryThatStopsRefusesWhatOutlastsIt(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "engines", func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) })
+	first, second := w.serveTwo()
+	first.manager.Join()
+	defer first.manager.End()
+	first.manager.Drain()
+	long := func() int {
+		request := standin.Call(first.settings.ListenAddress, http.MethodPost, "/stream/", "long", 0, "x")
+		return call(standin.Asking(request, 2000, 8000)).status
+	}
+	require.Equal(t, http.StatusServiceUnavailable, long())
+	require.Equal(t, 200, w.call(first, http.MethodPost, "/stream/", 2000, "x").status, "a short answer is over before")
+	second.manager.Join()
+	defer second.manager.End()
+	second.manager.Drain()
+	w.eventually("the first hears of the second's stop", func() bool { return long() == 200 })
+}
+
 // Entries are restarted in turn faster than they drain: both are stopping and refuse new
 // requests. A caller that was told to come back at once met the other one's refusal, and had
 // no try left. It is told when an entry will be there; while another one serves, at once.
@@ -116,13 +151,7 @@
 	w := newWorld(t)
 	w.configure(nil)
 	w.worker("i-1", "engines", nil)
-	first := w.serve()
-	second := w.start(w.settings(first.settings.PeerAddress))
-	w.eventually("the second serves", func() bool { return second.manager.State() == lifecycle.Serving })
-	w.eventually("the first hears it", func() bool {
-		wait, known := first.peers.nextServing(time.Now(), first.StopLimit())
-		return known && wait == 0
-	})
+	first, second := w.serveTwo()
 	first.manager.Join() // a request that lasts
 	defer first.manager.End()
 	first.manager.Drain()
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -30,9 +30,7 @@
 		}
 		choice, refusal := e.place(ctx, now)
 		if refusal != "" {
-			cause := refusalOf(refusal, choice)
-			cause.RetryAfter = e.spread(cause.RetryAfter)
-			e.conclude(e.core.NoServer(cause))
+			e.conclude(e.core.NoServer(e.refusalOf(refusal, choice)))
 			return
 		}
 		if choice.Wait > 0 {
@@ -136,8 +134,8 @@
 	return placement.Query{Engine: e.service.Engine, Exclude: excluded, PromptTokens: e.info.PromptTokens,
 		AnswerTokens: e.answerTokens(), Gap: e.route.EventGap, Tie: e.draw,
 		Target: max(e.route.Target-now.Sub(e.arrived), time.Millisecond), Remaining: e.deadline.Sub(now) - answerMargin,
-		HoldLimit: unusedLimit(e.s.settings.ReservationIdle.D()),
-		Servers:   servers, Avoid: e.s.peers.unheard(now, servers)}
+		Life: e.s.life(now), HoldLimit: unusedLimit(e.s.settings.ReservationIdle.D()),
+		Servers: servers, Avoid: e.s.peers.unheard(now, servers)}
 }
 
 // serversFor returns the servers of a service that this entry chooses among; the caller
@@ -164,7 +162,17 @@
 }
 
 // refusalOf says why there is no server and when to come back.
-func refusalOf(refusal placement.Refusal, choice placement.Choice) execution.Refusal {
+func (e *exchange) refusalOf(refusal placement.Refusal, choice placement.Choice) execution.Refusal {
+	if refusal == placement.Outlasts {
+		return e.stopRefusal()
+	}
+	cause := serviceRefusal(refusal, choice)
+	cause.RetryAfter = e.spread(cause.RetryAfter)
+	return cause
+}
+
+// serviceRefusal says what the service lacks.
+func serviceRefusal(refusal placement.Refusal, choice placement.Choice) execution.Refusal {
 	cause := execution.Refusal{Code: execution.CodeNoServer, Detail: "no backend server of the service is known", RetryAfter: choice.RetryAfter}
 	switch refusal {
 	case placement.TooLate:
--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/peering"
 	"arbutusdeck/platform/standin"
 )
 
@@ -141,7 +142,10 @@
 }
 
 // Callers of streams got status 200 and some events, and then the connection was closed. Their requests had
-// come to an entry after its SIGTERM.
+// come to an entry in the 2.8 s after its SIGTERM in which it takes new ones, and were placed as if it lived
+// on; at the stop's limit their answers were cut, though another entry would have served them. Evidence:
+// of 57 requests that the exits of 28 entries cut under load 43 were being answered, most of them chosen 1
+// to 2.8 s after SIGTERM; a real entry cuts an answer of 3.4 s that begins 2.6 s before its end.
 func TestAStoppingEntryTakesNoAnswerThatOutlastsIt(t *testing.T) {
 	t.Parallel()
 	const longAnswer = 4000 // tokens; written for 3.4 s, when the entry has 2.6 s left
@@ -151,6 +155,7 @@
 			<-r.Context().Done()
 		}
 	})...)
+	time.Sleep(peering.BalancerTime) // callers reach the other entry by then
 	f.stop(0)
 	time.Sleep(time.Second)
 	short := f.stream(0, "short", shortPrompt, shortAnswer, func() {})
