--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -124,11 +124,6 @@
 	return true
 }
 
-// stopRefusal refuses a request because this entry stops.
-func (e *exchange) stopRefusal() execution.Refusal {
-	return execution.Refusal{Code: CodeStopping, Detail: "this entry is about to stop", RetryAfter: e.s.returnAfterStop(time.Now())}
-}
-
 // endReading ends the reading of the request's body with an error.
 func (e *exchange) endReading() {
 	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
