Two failing tests: a stop that is over as it begins, and one that is seen late

The first: the last open request ends between the change to draining and the moment at which the entry has counted its wait for the balancer. Nothing is open then, and the process exits at once: callers that the balancer still sends are refused connections, and what came in meanwhile is cut. The second: a real entry sees SIGTERM 0.5 s late, as on a busy host, comes to its limit after SIGKILL, and a request that waits at a server gets EOF.

--- a/core/lifecycle/manager_test.go
+++ b/core/lifecycle/manager_test.go
@@ -36,3 +36,20 @@
 	require.GreaterOrEqual(t, time.Since(began), AnswerTime)
 	require.Equal(t, Stopped, m.State())
 }
+
+// Callers' connections were refused or closed right after SIGTERM. The last open request ended while the
+// daemon's part of the stop was beginning, before that had counted its own wait.
+func TestAStopThatBeginsIsNotOverAtOnce(t *testing.T) {
+	var m *Manager
+	m = NewManager(func(_, to State) {
+		if to == Draining {
+			m.End() // the last open request
+			m.Join()
+		}
+	})
+	m.Serve()
+	require.NoError(t, m.Begin())
+	m.Drain()
+	require.ErrorIs(t, m.Wait(t.Context(), time.Millisecond), ErrCut, "what Draining has begun is waited for")
+	m.End()
+}
--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -165,3 +166,24 @@
 	f.isRefused(long)
 	require.Equal(t, "0.05", long.header.Get("Retry-After"), "the other entry takes it at once")
 }
+
+// Callers whose requests waited at the limit of a stop got no answer. Their entry's host was busy, so that
+// the process saw SIGTERM late, and SIGKILL came before it had answered.
+func TestAStopThatIsSeenLateStillAnswers(t *testing.T) {
+	t.Parallel()
+	const late = 500 * time.Millisecond
+	workers := newWorkers(t, 1, silent)
+	f := startForwarding(t, forwardingSpec{entries: 1, processors: 1, stopLimit: shortStop}, workers...)
+	sent := f.goStream("sent", shortPrompt, shortAnswer)
+	f.eventually("it is sent", func() bool { return len(workers[0].Runs()) == 1 })
+	name := f.entries[0].Name
+	f.signal(name, syscall.SIGSTOP)
+	f.stop(0)
+	killed := time.AfterFunc(shortStop, func() { _ = f.daemons[name].cmd.Process.Kill() })
+	defer killed.Stop()
+	time.Sleep(late)
+	f.signal(name, syscall.SIGCONT)
+	a := <-sent
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusBadGateway, a.status, a.body)
+}
