Count a stop as open while it begins

Callers saw: refused or closed connections right after SIGTERM to their entry, until the balancer had noticed. Cause: the state changed to draining first, and the entry's wait for the balancer was counted after that, in the callback. If the last open request ended in between, nothing was open: the stop was over, and the process exited without the wait, cutting off what had come in meanwhile. Found by reading; a line is logged in that window, so that a busy host makes it longer. Ruled out: requests that come later (they are joined before they do anything). Change: Drain itself holds a count until the callback has returned. The test with that order of events: over each time before, open after.

--- a/core/lifecycle/manager.go
+++ b/core/lifecycle/manager.go
@@ -105,10 +105,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.open--
-	m.signalIdle()
-}
-
-func (m *Manager) signalIdle() {
 	if m.state != Draining || m.open > 0 {
 		return
 	}
@@ -119,14 +115,14 @@
 	}
 }
 
-// Drain refuses new work from now on.
+// Drain refuses new work from now on. What onChange joins is open in any case: without the count held
+// here the stop would be over if the last open request ended before that.
 func (m *Manager) Drain() {
-	if !m.move(Serving, Draining) && !m.move(Starting, Draining) {
-		return
+	m.Join()
+	defer m.End()
+	if !m.move(Serving, Draining) {
+		m.move(Starting, Draining)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.signalIdle()
 }
 
 // Ending is done when the limit of a stop has passed: what is still open has AnswerTime to give
--- a/core/lifecycle/manager_test.go
+++ b/core/lifecycle/manager_test.go
@@ -37,8 +37,10 @@
 	require.Equal(t, Stopped, m.State())
 }
 
-// Callers' connections were refused or closed right after SIGTERM. The last open request ended while the
-// daemon's part of the stop was beginning, before that had counted its own wait.
+// Callers' connections were refused or closed right after SIGTERM, for the two seconds until the balancer
+// noticed. The last open request ended after the change to draining and before the daemon had counted its
+// own wait; nothing was open, and the process exited at once. Evidence: with that order of events the stop
+// is over each time.
 func TestAStopThatBeginsIsNotOverAtOnce(t *testing.T) {
 	var m *Manager
 	m = NewManager(func(_, to State) {
