Leave time for a SIGTERM that is seen late

Callers saw: EOF in place of a final answer, as their entry was killed. Cause: the limit of a stop counts from the moment at which the process sees SIGTERM, and 0.4 s were kept free for everything after it. A busy host, or one whose share of a processor is used up, sees the signal later than the platform sent it, and SIGKILL comes by the platform's clock. Ruled out: the time that final answers take (they are out within some ms in the same test). Change: 0.7 s are kept free. Requests that are open then end 0.3 s sooner. A signal that is seen more than 0.7 s late is not covered.

--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -121,8 +121,9 @@
 	// lingerAfterStop is how long new requests are taken after SIGTERM. The
 	// balancer asks once a second and stops sending after two misses.
 	lingerAfterStop = 2800 * time.Millisecond
-	// stopMargin is kept free of StopLimit for the exit itself.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is kept free of StopLimit for final answers and the exit, and because a busy host sees
+	// SIGTERM late: SIGKILL comes by the platform's clock.
+	stopMargin = 700 * time.Millisecond
 	// deadlineSlack is how long past the caller's own time an answer that is
 	// about to come is waited for.
 	deadlineSlack = 100 * time.Millisecond
--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -146,10 +146,10 @@
 // come to an entry in the 2.8 s after its SIGTERM in which it takes new ones, and were placed as if it lived
 // on; at the stop's limit their answers were cut, though another entry would have served them. Evidence:
 // of 57 requests that the exits of 28 entries cut under load 43 were being answered, most of them chosen 1
-// to 2.8 s after SIGTERM; a real entry cuts an answer of 3.4 s that begins 2.6 s before its end.
+// to 2.8 s after SIGTERM; a real entry cuts an answer of 3.4 s that begins less before its end.
 func TestAStoppingEntryTakesNoAnswerThatOutlastsIt(t *testing.T) {
 	t.Parallel()
-	const longAnswer = 4000 // tokens; written for 3.4 s, when the entry has 2.6 s left
+	const longAnswer = 4000 // tokens; written for 3.4 s, when the entry has 2.3 s left
 	f := startForwarding(t, forwardingSpec{entries: 2, processors: 1, stopLimit: shortStop}, newWorkers(t, 1, func(out http.ResponseWriter, r *http.Request) {
 		standin.Events(out, r, 1, 0)
 		if r.Header.Get("Attempt-Id") == "long" {
@@ -168,7 +168,8 @@
 }
 
 // Callers whose requests waited at the limit of a stop got no answer. Their entry's host was busy, so that
-// the process saw SIGTERM late, and SIGKILL came before it had answered.
+// the process saw SIGTERM late and counted the limit from then on: SIGKILL came before it had answered.
+// Evidence: a process that sees SIGTERM 0.5 s late is killed before its limit, 3 of 3 times.
 func TestAStopThatIsSeenLateStillAnswers(t *testing.T) {
 	t.Parallel()
 	const late = 500 * time.Millisecond
