Two failing tests: what is queued when a daemon of the product's own interface ends

The same class on the other path: a request that waits in a host's queue when the stop of its entry, or of the host's daemon, comes to its end. Its caller gets EOF, or 502 and that nobody knows whether it ran, though it has not.

--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -13,6 +13,7 @@
 
 	"arbutusdeck/core/peering"
 	"arbutusdeck/platform/standin"
+	"arbutusdeck/standin/fleet"
 )
 
 // Times of the stops of these tests.
@@ -188,3 +189,43 @@
 	require.NoError(t, a.err)
 	require.Equal(t, http.StatusBadGateway, a.status, a.body)
 }
+
+// Callers of the product's own interface whose requests waited in a host's queue found the connection closed
+// when the stop of their entry came to its end.
+func TestWhatIsQueuedWhenAnEntryEndsIsRefused(t *testing.T) {
+	t.Parallel()
+	queuedAtTheEndOf(t, fleet.EntryName(0))
+}
+
+// Callers whose requests waited in a host's queue were told that nobody knows whether they ran, when the
+// stop of the host's daemon came to its end.
+func TestWhatIsQueuedWhenAHostEndsIsRefused(t *testing.T) {
+	t.Parallel()
+	queuedAtTheEndOf(t, fleet.ServerName(0))
+}
+
+// queuedAtTheEndOf ends the stop of a daemon while one request is written and another waits in the host's
+// queue, and holds that the waiting one is refused as not run.
+func queuedAtTheEndOf(t *testing.T, stopped string) {
+	spec := slowSpec()
+	spec.Servers, spec.Entries, spec.Slots = 1, 1, 1
+	s := startSite(t, spec)
+	written := s.goDo(call{path: "/v1/completions", body: completionBody(prompt(300), 400, true)})
+	s.busyServer()
+	queued := s.goDo(call{path: "/v1/completions", body: completionBody(prompt(300), 5, true)})
+	s.eventually("the second one waits", func() bool {
+		var status struct{ OpenRequests int }
+		return s.status(fleet.ServerName(0), "daemon", &status) && status.OpenRequests == 2
+	})
+	s.drain(stopped)
+	began := time.Now()
+	s.signal(stopped, syscall.SIGINT)
+	a := <-queued
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+	require.Equal(t, "notRun", problemOf(t, a).Error.Run)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Less(t, time.Since(began), time.Second)
+	require.Equal(t, 4, s.awaitExit(stopped))
+	require.NotContains(t, (<-written).body, "[DONE]")
+}
