Answer what is open when an entry of the product's own interface ends

Callers saw: a closed connection in place of an answer when the stop of their entry came to its limit, or was ended by SIGINT, though their request had only waited in a host's queue, or was still on its way. Cause: as on the forwarding path, the limit closed all connections. A request's own core knew no end of its entry. Ruled out: the host (it holds the place until the lease ends, and knows that nothing ran). Change: EntryEnds is an event of a request. A body that has not come is not waited for. The explorer plays two ends of an entry with a loss, or with a copy and late messages, for all four kinds of requests: no state breaks the specification.

--- a/core/execution/events.go
+++ b/core/execution/events.go
@@ -4,7 +4,7 @@
 
 // Event is something that happened to a request. The Event types are Begun,
 // Picked, NoTarget, OfferAnswered, OfferLost, FrameArrived, StreamEnded,
-// CancelAnswered, CancelLost, DeadlinePassed and CallerGone.
+// CancelAnswered, CancelLost, DeadlinePassed, EntryEnds and CallerGone.
 type Event interface{ event() }
 
 func (Begun) event()          {}
@@ -17,6 +17,7 @@
 func (CancelAnswered) event() {}
 func (CancelLost) event()     {}
 func (DeadlinePassed) event() {}
+func (EntryEnds) event()      {}
 func (CallerGone) event()     {}
 
 type (
@@ -51,6 +52,8 @@
 	CancelLost struct{ Attempt AttemptID }
 	// DeadlinePassed ends the request's time.
 	DeadlinePassed struct{}
+	// EntryEnds says that this entry ends soon. The second one says that it ends now.
+	EntryEnds struct{ Refusal Refusal }
 	// CallerGone says that nobody waits for the answer any more.
 	CallerGone struct{}
 )
--- a/core/execution/explore_test.go
+++ b/core/execution/explore_test.go
@@ -96,6 +96,8 @@
 		{"loss and restart", faults{Losses: 1, Restarts: 1}},
 		{"deadline and loss", faults{Deadlines: 1, Losses: 1}},
 		{"deadline, copy and late", faults{Deadlines: 1, Copies: 1, Jumps: 1}},
+		{"ends and loss", faults{Ends: 2, Losses: 1}},
+		{"ends, copy and late", faults{Ends: 2, Copies: 1, Jumps: 1}},
 	}
 	var all []scenario
 	for _, kind := range kinds {
--- a/core/execution/request.go
+++ b/core/execution/request.go
@@ -66,6 +66,7 @@
 	lastCause Refusal
 	asked     time.Time // when the offer or cancel under way was sent
 	ran       Outcome   // the worst outcome of earlier attempts that did run
+	ending    bool      // this entry ends, and nothing is tried again
 }
 
 // NewRequest returns a request that waits for Begun.
@@ -112,6 +113,8 @@
 		return r.onCancelled(now, e.Attempt, Unknown)
 	case DeadlinePassed:
 		return r.giveUp(Refusal{Code: CodeDeadline, Detail: "the request's deadline has passed"})
+	case EntryEnds:
+		return r.end(now, e.Refusal)
 	case CallerGone:
 		return r.giveUp(Refusal{Code: CodeCallerGone})
 	}
@@ -226,7 +229,7 @@
 		return r.conclude(Unknown, &cause)
 	case r.options.KeyFromCaller:
 		return r.conclude(NotRun, &cause)
-	case r.attempts >= r.options.MaxAttempts, !now.Before(r.options.Deadline), final(cause.Code):
+	case r.ending, r.attempts >= r.options.MaxAttempts, !now.Before(r.options.Deadline), final(cause.Code):
 		return r.conclude(NotRun, &cause)
 	}
 	r.stage = stagePicking
@@ -313,7 +316,7 @@
 		return r.retryNotRun(now, cause, r.vouched(now))
 	}
 	mixed := r.delivered && !r.options.Buffered
-	again := r.options.Repeatable && !mixed && r.options.Key.None() &&
+	again := r.options.Repeatable && !r.ending && !mixed && r.options.Key.None() &&
 		r.attempts < r.options.MaxAttempts && now.Before(r.options.Deadline)
 	r.ran = max(r.ran, outcome)
 	if !again || !r.options.TakeRetry(now) {
@@ -333,6 +336,21 @@
 	return []Action{Discard{}}
 }
 
+// end ends the request because this entry ends. An attempt that was opened is cancelled first: its host
+// knows whether it has run. The second time nothing is waited for.
+func (r *Request) end(now time.Time, refusal Refusal) []Action {
+	opened := r.stage == stageStreaming || r.stage == stageCancelling
+	if !opened || r.ending {
+		return r.giveUp(refusal)
+	}
+	r.ending = true
+	r.lastCause = refusal
+	if r.stage == stageCancelling {
+		return nil
+	}
+	return r.cancel(now)
+}
+
 // giveUp ends the request at once. The run is cancelled, but nobody waits for
 // that: what is not known at this moment is Unknown.
 func (r *Request) giveUp(refusal Refusal) []Action {
--- /dev/null
+++ b/core/execution/request_test.go
@@ -0,0 +1,28 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An entry ends while a request waits in a host's queue. The host is asked whether it has run, and nothing
+// is tried again; where the host doesn't answer in time the caller is told that nobody knows.
+func TestAnEntryThatEndsAsksWhetherARequestHasRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ends := EntryEnds{Refusal{Code: CodeDraining}}
+	waiting := func() *Request {
+		r := NewRequest(RequestOptions{ID: "r", Repeatable: true, Deadline: now.Add(time.Minute), NewAttempt: func() AttemptID { return "a" },
+			TakeRetry: func(time.Time) bool { return true }})
+		r.Step(now, Begun{})
+		r.Step(now, Picked{Target{Server: "s"}})
+		require.IsType(t, OpenStream{}, r.Step(now, OfferAnswered{Attempt: "a", Result: OfferResult{Verdict: Accepted}})[0])
+		require.IsType(t, SendCancel{}, r.Step(now, ends)[0])
+		return r
+	}
+	for told, answer := range map[Outcome]Event{NotRun: CancelAnswered{"a", NotRun}, Failed: CancelAnswered{"a", Failed}, Unknown: ends} {
+		actions := waiting().Step(now, answer)
+		require.Equal(t, []Action{Conclude{Conclusion{Outcome: told, Refusal: &ends.Refusal, Attempts: 1}}}, actions, told.String())
+	}
+}
--- a/entry/server/api.go
+++ b/entry/server/api.go
@@ -190,11 +190,17 @@
 func (s *Server) readBody(c *call) ([]byte, func(), error) {
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	ending := s.Manager().Ending()
+	stop := context.AfterFunc(ending, func() { _ = controller.SetReadDeadline(time.Now()) })
 	data, release, err := readBody(c.w, c.r.Request, s.options.Settings.MaxBodyBytes, s.bodies)
-	_ = controller.SetReadDeadline(time.Time{})
+	if stop() { // else the rest of the body must not be waited for, before the answer is written
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case err == nil:
 		return data, release, nil
+	case ending.Err() != nil:
+		return nil, nil, &refusedError{entryEnds}
 	case errors.Is(err, errTooLarge):
 		return nil, nil, refuse(codeTooLarge, "%v", err)
 	case errors.Is(err, errNoRoom):
--- a/entry/server/driver.go
+++ b/entry/server/driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routing"
@@ -56,6 +57,9 @@
 	endStream context.CancelFunc
 }
 
+// entryEnds refuses what is open at the limit of this entry's stop.
+var entryEnds = execution.Refusal{Code: execution.CodeDraining, Detail: "this entry ends", RetryAfter: time.Second}
+
 // drive runs a request to its end and answers the caller. The conclusion is
 // given as soon as the core has it.
 func (s *Server) drive(ctx context.Context, t *task) execution.Conclusion {
@@ -68,7 +72,8 @@
 	s.core.Began()
 	s.mu.Unlock()
 	event := execution.Event(execution.Begun{})
-	gone := ctx.Done()
+	gone, ending := ctx.Done(), s.Manager().Ending().Done()
+	var ends <-chan time.Time
 	for {
 		if conclusion, over := d.step(event); over {
 			return conclusion
@@ -79,6 +84,10 @@
 			event = execution.DeadlinePassed{}
 		case <-gone:
 			event, gone = execution.CallerGone{}, nil
+		case <-ending:
+			event, ending, ends = execution.EntryEnds{Refusal: entryEnds}, nil, time.After(lifecycle.AnswerTime/2)
+		case <-ends:
+			event = execution.EntryEnds{Refusal: entryEnds}
 		}
 	}
 }
