A failing test: the memory of the last prompt of an entry that stops is not given back

A huge prompt is the last request of a real entry. When the process has exited its memory is still set aside at the servers, up to 3.5 s until the hold ends.

--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -262,3 +262,23 @@
 	require.Less(t, time.Since(began), time.Second)
 	require.Equal(t, 4, s.awaitExit(stopped))
 }
+
+// Memory of servers stayed set aside for seconds after an entry had ended, though the prompt that had needed it
+// was answered. It was the entry's last request.
+func TestTheLastPromptsMemoryIsGivenBack(t *testing.T) {
+	t.Parallel()
+	workers := newWorkers(t, 3, func(out http.ResponseWriter, r *http.Request) {
+		standin.Events(out, r, 1, 0)
+		time.Sleep(3 * time.Second)
+		r.Header.Set("Last-Event-Id", "1")
+		standin.Events(out, r, 2, 0)
+	})
+	f := startForwarding(t, forwardingSpec{entries: 1, processors: 1, stopLimit: usualStop}, workers...)
+	a := f.stream(0, "huge", hugePrompt, shortAnswer, func() { f.stop(0) })
+	require.NoError(t, a.err)
+	require.Equal(t, 2, strings.Count(a.body, "data:"))
+	require.Equal(t, 0, f.awaitExit(f.entries[0].Name))
+	for _, worker := range workers {
+		require.Empty(t, worker.Reserved(), worker.ID)
+	}
+}
