The soak plays streams that outlast stops, and asks for an answer to what was read

The soak missed requests that a stop cut: its streams lasted a third of a second, its callers waited four at the most, unplanned faults came so often that hardly a stop came to its limit undisturbed, and a request without a status line was a finding only if a server had run it. What a server still writes in the last sixth of a stop may be cut, as the users' rule says, and the exit code may tell so; a test shows both sides. Runs without long streams draw the same faults as before.

--- a/proof/soak/caller.go
+++ b/proof/soak/caller.go
@@ -117,7 +117,7 @@
 
 // send sends a request and leaves after a time, or stays if that is 0.
 func (c *caller) send(call *Call, request *http.Request, leave time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), noAnswer)
+	ctx, cancel := context.WithTimeout(request.Context(), noAnswer)
 	defer cancel()
 	if leave > 0 {
 		time.AfterFunc(leave, cancel)
--- a/proof/soak/check.go
+++ b/proof/soak/check.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	exits "arbutusdeck/core/process"
 )
 
 // Finding is a promise that was broken.
@@ -37,6 +39,7 @@
 	}
 	for i := range r.Calls {
 		c.checkCall(&r.Calls[i])
+		c.checkRead(&r.Calls[i])
 	}
 	for _, run := range r.Runs {
 		c.checkRun(run)
@@ -187,6 +190,7 @@
 		switch {
 		case e.ByItself:
 			c.found("no process ends by itself", "entry %d exited with %d", e.Entry, e.Code)
+		case e.Code == exits.ExitCut && c.mayCut(e):
 		case e.Code != 0 && !c.disturbed(e.Entry, e.Began, e.Began.Add(e.Took)):
 			c.found("a planned stop cuts nothing", "entry %d exited with %d after %s", e.Entry, e.Code, e.Took.Round(time.Millisecond))
 		}
--- /dev/null
+++ b/proof/soak/check_stop.go
@@ -0,0 +1,81 @@
+package soak
+
+import "time"
+
+const (
+	// lossSlack is how soon after a request was sent its connection may be closed without an answer, and
+	// afterStop how late after SIGTERM a request may come that a stop need not bring to its end; both are
+	// the users' figures.
+	lossSlack = 200 * time.Millisecond
+	afterStop = 3 * time.Second
+	// lateStop is when a stop nears its limit, counted from SIGTERM. What servers still write then may be
+	// cut off; the users' figure is five sixths.
+	lateStop = stopLimit * 5 / 6
+)
+
+// answeredRead is the promise that a planned stop answers each request that the entry has read.
+const answeredRead = "a stop answers what it has read"
+
+// checkRead finds requests whose connection ends without a status line around a planned stop, though the
+// entry had time to read them.
+func (c *checker) checkRead(call *Call) {
+	if call.Status != 0 || call.Left || call.Ended.Sub(call.Began) < lossSlack+slack {
+		return
+	}
+	// A connection that lay idle while its link was silenced brings the entry nothing any more.
+	sound := call.Began.Add(-call.Idle)
+	if c.harmed(call.Entry, sound, call.Ended) || len(c.stops(call.Entry, call.Began, call.Ended)) == 0 {
+		return
+	}
+	c.found(answeredRead, "%s got no answer of entry %d after %s: %v", call.ID, call.Entry,
+		call.Ended.Sub(call.Began).Round(time.Millisecond), call.Err)
+}
+
+// harmed says whether an entry's process or its link from callers was struck, so that it could not answer.
+func (c *checker) harmed(entry int, from, to time.Time) bool {
+	for _, f := range c.Faults {
+		strikes := f.Kind == EntryKilled || f.Kind == EntryPaused || f.Kind == FrontLink
+		if strikes && f.Target == entry && f.overlaps(from.Add(-stableWindow), to) {
+			return true
+		}
+	}
+	return false
+}
+
+// stops are the planned stops of an entry that overlap a span.
+func (c *checker) stops(entry int, from, to time.Time) []Interval {
+	var found []Interval
+	for _, f := range c.Faults {
+		if f.Kind == EntryStopped && f.Target == entry && f.overlaps(from, to) {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+// outlastsStop says whether a call's answer was still being written when a stop of its entry neared its limit.
+func (c *checker) outlastsStop(call *Call) bool {
+	for _, stop := range c.stops(call.Entry, call.Began, call.Ended) {
+		late := stop.From.Add(lateStop)
+		if call.Status == 0 || call.Began.After(stop.From.Add(afterStop)) || call.Ended.Before(late) {
+			continue
+		}
+		for _, run := range c.runs[call.ID] {
+			if run.Ended.IsZero() || run.Ended.After(late) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayCut says whether the stop that ended in an exit came to its limit with a call open.
+func (c *checker) mayCut(e Exit) bool {
+	late := e.Began.Add(lateStop)
+	for i := range c.Calls {
+		if call := &c.Calls[i]; call.Entry == e.Entry && call.Began.Before(late) && call.Ended.After(late) {
+			return true
+		}
+	}
+	return false
+}
--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -67,7 +67,12 @@
 			r.Held = []standin.Held{{ID: "a", From: after(1), To: after(12)}, {ID: "b", From: after(1), To: after(12)}}
 			r.Used["b"] = after(2)
 		},
-		"memory comes back":              func(r *Records) { r.Reserved["w"] = 1 },
+		"memory comes back": func(r *Records) { r.Reserved["w"] = 1 },
+		answeredRead: func(r *Records) {
+			r.Calls[0].Status, r.Calls[0].Signature, r.Calls[0].Whole, r.Calls[0].Err, r.Calls[0].Ended = 0, "", false, errors.New("EOF"), after(11.9)
+			r.Faults = []Interval{{Kind: EntryStopped, From: after(9), To: after(12)}}
+			r.Runs = nil
+		},
 		"no process ends by itself":      func(r *Records) { r.Exits = []Exit{{ByItself: true}} },
 		"recovery":                       func(r *Records) { r.Calls = append(r.Calls, refusedLate()...) },
 		"a planned stop cuts nothing":    func(r *Records) { r.Exits = []Exit{{Began: after(20), Took: time.Second, Code: 4}} },
@@ -204,6 +209,26 @@
 	require.Contains(t, promisesOf(r), "recovery")
 }
 
+// A stream is still written when the stop of its entry comes to its limit, and is cut off. That is no finding
+// if its server was at work; it is one if the server had ended before, or the request came late.
+func TestAStreamThatOutlastsAStopMayBeCut(t *testing.T) {
+	const promise = "nothing is cut"
+	r := soundRecords()
+	r.Calls[0].Whole, r.Calls[0].Err, r.Calls[0].Ended, r.Calls[0].Wait = false, errors.New("reset"), after(17.4), longWait
+	r.Calls[0].Kind, r.Runs[0].Service, r.Runs[0].Ended = Stream, engines, after(17.4)
+	r.Faults = []Interval{{Kind: EntryStopped, From: after(10.05), To: after(17.5)}}
+	r.Exits = []Exit{{Code: 4, Began: after(10.05), Took: 7450 * time.Millisecond}}
+	require.Empty(t, Check(r, true))
+	r.Runs[0].Ended = after(16)
+	require.Contains(t, promisesOf(r), promise, "the server had ended it")
+	r.Runs[0].Ended = after(17.4)
+	r.Faults[0].From = after(6.9)
+	require.Contains(t, promisesOf(r), promise, "it came more than three seconds after SIGTERM")
+	r.Calls[0].Ended = after(10.4)
+	r.Faults[0].From = after(10.05)
+	require.Contains(t, promisesOf(r), "a planned stop cuts nothing", "nothing was open at the limit")
+}
+
 // promisesOf are the promises that the records of a run show broken.
 func promisesOf(r *Records) []string {
 	var promises []string
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -40,6 +40,8 @@
 	// FatalHold is for how long at the most a server runs such a request before it ends. Where it is
 	// positive all callers of every second one leave before. Some ms at least.
 	FatalHold time.Duration
+	// Long is how many callers of streams that outlast most stops each entry has.
+	Long int
 	// Timed also checks the promises that bound times. They hold on a machine
 	// that is not overloaded.
 	Timed bool
--- a/proof/soak/plan.go
+++ b/proof/soak/plan.go
@@ -94,10 +94,27 @@
 		steps = append(steps, series(random, o, at)...)
 		at += time.Duration(random.ExpFloat64() * float64(meanGap) / perGap)
 	}
+	steps = append(steps, longStops(random, o)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
+// longStops draws stops of the entries that nothing else than planned work strikes, each after the one before
+// has come to its end.
+func longStops(random *rand.Rand, o Options) []Step {
+	var steps []Step
+	if o.Long == 0 {
+		return steps
+	}
+	for entry := o.targets(EntryKilled); entry < o.Entries; entry++ {
+		at := firstFault + time.Duration(random.Int64N(int64(longestFault)))
+		for ; at < o.Length; at += stopLimit + time.Duration(random.Int64N(int64(longestFault))) {
+			steps = append(steps, Step{At: at, Kind: EntryStopped, Target: entry})
+		}
+	}
+	return steps
+}
+
 func series(random *rand.Rand, o Options, at time.Duration) []Step {
 	count := 1
 	if random.Float64() < seriesShare {
@@ -123,6 +140,9 @@
 // targets is how many things a kind may strike.
 func (o Options) targets(kind Kind) int {
 	switch {
+	case o.Long > 0 && kind.onEntry() && !kind.planned():
+		// The others' stops come to their ends undisturbed: a stop lasts for longer than faults lie apart.
+		return (o.Entries + 1) / 2
 	case kind.onEntry():
 		return o.Entries
 	case kind.onWorker():
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -88,6 +88,9 @@
 		return err
 	}
 	settings := settingsOf(index, host, toStore.Address(), seeds, w.options.ChangeBound)
+	if w.options.Long > 0 && index%2 == 1 {
+		settings.Processors = 4
+	}
 	front, err := NewLink("127.0.0.1:0", settings.ListenAddress)
 	if err != nil {
 		return err
@@ -290,6 +293,10 @@
 			c := newCaller(fmt.Sprintf("c%d-%d", entry, i), entry, w.fronts[entry].Address(), w.options.Seed+uint64(entry*100+i), w.records, w.newest)
 			callers.Go(func() { c.run(ctx) })
 		}
+		for i := range w.options.Long {
+			c := w.newLongCaller(entry, i)
+			callers.Go(func() { c.callLong(ctx) })
+		}
 		// The probes go past the link: they show what the entry has in force.
 		p := newCaller(fmt.Sprintf("p%d", entry), entry, w.daemons[entry].settings.ListenAddress, w.options.Seed, w.records, w.newest)
 		callers.Go(func() { p.probe(ctx) })
