Keep the platform's names out of the tests of stops

TestNamesStayInThisFolder was red since the first of these tests: they named two headers. The stand-in writes events by their numbers, and reads the request's id.

--- a/proof/processes/stop_test.go
+++ b/proof/processes/stop_test.go
@@ -120,8 +120,7 @@
 	worker.Script = func(out http.ResponseWriter, r *http.Request) {
 		standin.Events(out, r, 1, 0)
 		time.Sleep(3200 * time.Millisecond) // new requests are taken for 2.8 s
-		r.Header.Set("Last-Event-Id", "1")
-		standin.Events(out, r, 4, 0)
+		standin.WriteEvents(out, 2, 4)
 	}
 	cut := 0
 	for range b.N {
@@ -156,7 +155,7 @@
 	const longAnswer = 4000 // tokens; written for 3.4 s, when the entry has 2.3 s left
 	f := startForwarding(t, forwardingSpec{entries: 2, processors: 1, stopLimit: shortStop}, newWorkers(t, 1, func(out http.ResponseWriter, r *http.Request) {
 		standin.Events(out, r, 1, 0)
-		if r.Header.Get("Attempt-Id") == "long" {
+		if standin.RunOf(r).ID == "long" {
 			<-r.Context().Done()
 		}
 	})...)
@@ -271,8 +270,7 @@
 	workers := newWorkers(t, 3, func(out http.ResponseWriter, r *http.Request) {
 		standin.Events(out, r, 1, 0)
 		time.Sleep(3 * time.Second)
-		r.Header.Set("Last-Event-Id", "1")
-		standin.Events(out, r, 2, 0)
+		standin.WriteEvents(out, 2, 2)
 	})
 	f := startForwarding(t, forwardingSpec{entries: 1, processors: 1, stopLimit: usualStop}, workers...)
 	a := f.stream(0, "huge", hugePrompt, shortAnswer, func() { f.stop(0) })
