Bear a store that comes back from an older copy

The users' store may come back from a copy some seconds old: what was written since is gone, revisions go back and are given out again, and a watch from one that it doesn't have gets 410. Store-Era rises by one each time. Without a change (rows of the safeguards removed): an entry that had passed the copy's revision took rows of the new era for older than its own and ignored them, or missed what was written between; a server that had left came back from the old row and got requests; one that had come since was dropped. The first whole list of a new era is taken in as such: a server that it lacks is given the two seconds in which rows come back, and the row of a start that has left is believed once it is written anew. Configurations never go back, as before. Ruled out: an era as a field of its own in rows, updates and views (every comparison would need both, and older entries wouldn't know it).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -184,6 +184,29 @@
 	return changes
 }
 
+// Restore takes in the first whole list after the platform has come back from an older copy. What was
+// written since the copy was made is written again soon: a server that is not listed is given ReturnGrace,
+// and the row of a start that has left is believed only once it is written anew.
+func (d *Directory) Restore(now time.Time, servers []Server, revision uint64) []Change {
+	var changes []Change
+	listed := map[string]bool{}
+	for _, server := range servers {
+		listed[server.ID] = true
+		if left, ok := d.left[server.ID]; ok && server.Born <= left.born {
+			left.revision = max(left.revision, server.Revision)
+			d.left[server.ID] = left
+			continue
+		}
+		if change, ok := d.Upsert(server); ok {
+			changes = append(changes, change)
+		}
+	}
+	for _, id := range d.missing(listed, revision) {
+		d.entries[id].miss(now)
+	}
+	return changes
+}
+
 // missing returns the known servers that a list of a revision should hold and does
 // not.
 func (d *Directory) missing(listed map[string]bool, revision uint64) []string {
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -121,7 +121,7 @@
 func (s *Server) takeWatched(from uint64, changes platform.Changes) {
 	s.take(changes, "platform")
 	s.mu.Lock()
-	s.revision = max(s.revision, changes.Revision)
+	s.advance(changes.Revision)
 	s.mu.Unlock()
 	s.peers.tellChanges(from, changes)
 }
@@ -141,6 +141,12 @@
 	return s.revision
 }
 
+// advance notes that the list of servers is complete up to a revision; the caller holds the lock.
+func (s *Server) advance(revision uint64) {
+	s.revision = max(s.revision, revision)
+	s.era = max(s.era, platform.EraOf(revision))
+}
+
 // forgetPosition makes the next reading a whole one.
 func (s *Server) forgetPosition() {
 	s.mu.Lock()
@@ -190,9 +196,17 @@
 	s.logRejected(changes, "platform")
 	s.mu.Lock()
 	noted := s.reject(changes.Rejected)
-	noted = append(noted, s.directory.Replace(now, changes.Servers, changes.Revision, afterOutage)...)
-	s.revision = max(s.revision, changes.Revision)
+	restored := !s.directory.Empty() && platform.EraOf(changes.Revision) > s.era
+	if restored {
+		noted = append(noted, s.directory.Restore(now, changes.Servers, changes.Revision)...)
+	} else {
+		noted = append(noted, s.directory.Replace(now, changes.Servers, changes.Revision, afterOutage)...)
+	}
+	s.advance(changes.Revision)
 	s.mu.Unlock()
+	if restored {
+		s.log.WithField("revision", changes.Revision).Warn("the store has come back from an older copy; what it has lost is kept until it is written again")
+	}
 	s.noteServers(noted, "platform")
 	s.becomeReady()
 }
--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -154,7 +154,7 @@
 	s.mu.Lock()
 	noted := s.takeRows(update.Servers, update.Gone)
 	if !s.reading && s.revision != 0 && update.Base <= s.revision {
-		s.revision = max(s.revision, update.Upto)
+		s.advance(update.Upto)
 	}
 	s.mu.Unlock()
 	s.noteServers(noted, "peer "+from)
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -73,6 +73,9 @@
 	directory *directory.Directory
 	// revision is the platform's, up to which the directory is complete.
 	revision uint64
+	// era is the newest that the store was seen in; it has come back from an older copy since if it is
+	// in a later one.
+	era uint64
 	// storeFine is the last success of a call to the store, by the clock that counts on while
 	// the host is suspended: an entry that wakes must not call its knowledge fresh.
 	storeFine time.Time
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -106,7 +106,7 @@
 	}
 	if v.Revision > s.revision && !slices.ContainsFunc(v.Servers, s.directory.LacksBirth) {
 		changes = append(changes, s.directory.Replace(time.Now(), v.Servers, v.Revision, false)...)
-		s.revision = v.Revision
+		s.advance(v.Revision)
 		return changes
 	}
 	for _, server := range v.Servers {
