The soak brings the store back from an older copy

In runs with long streams, once, from a copy up to five seconds old; the operator and the servers write again what they had written since, and rows of servers that have ended go again.

--- a/proof/soak/plan.go
+++ b/proof/soak/plan.go
@@ -30,6 +30,8 @@
 	StoreForgets  Kind = "store forgets its history"
 	RowsLapse     Kind = "rows lapse"
 	ConfigChanges Kind = "configuration changes"
+	// StoreRestored: it comes back from a copy as old as the fault is long.
+	StoreRestored Kind = "store restored"
 )
 
 // planned says that a kind is planned work, beside which nothing may be cut.
@@ -94,18 +96,19 @@
 		steps = append(steps, series(random, o, at)...)
 		at += time.Duration(random.ExpFloat64() * float64(meanGap) / perGap)
 	}
-	steps = append(steps, longStops(random, o)...)
+	steps = append(steps, longSteps(random, o)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
-// longStops draws stops of the entries that nothing else than planned work strikes, each after the one before
-// has come to its end.
-func longStops(random *rand.Rand, o Options) []Step {
-	var steps []Step
+// longSteps draws stops of the entries that nothing else than planned work strikes, each after the one before
+// has come to its end, and one return of the store from an older copy.
+func longSteps(random *rand.Rand, o Options) []Step {
 	if o.Long == 0 {
-		return steps
+		return nil
 	}
+	age := min(time.Duration(random.Int64N(int64(longestFault))), o.Length-firstFault)
+	steps := []Step{{At: firstFault + time.Duration(random.Int64N(int64(o.Length-firstFault-age)+1)), For: age, Kind: StoreRestored}}
 	for entry := o.targets(EntryKilled); entry < o.Entries; entry++ {
 		at := firstFault + time.Duration(random.Int64N(int64(longestFault)))
 		for ; at < o.Length; at += stopLimit + time.Duration(random.Int64N(int64(longestFault))) {
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -126,6 +126,27 @@
 	return !l.From.After(at) && (l.To.IsZero() || l.To.After(at))
 }
 
+// isAlive says whether a backend server can be reached.
+func (r *Records) isAlive(worker string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	life := r.Lives[worker]
+	return life != nil && life.To.IsZero()
+}
+
+// endedServers are the backend servers that can't be reached any more.
+func (r *Records) endedServers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, life := range r.Lives {
+		if !life.To.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Exit is the end of a process that was asked to stop.
 type Exit struct {
 	Entry int
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -50,6 +50,7 @@
 	fatalHold time.Duration
 
 	mu      sync.Mutex
+	leaving bool // the server that runs now has reported that it leaves
 	service string
 	serial  int
 	worker  *standin.Worker
@@ -75,7 +76,7 @@
 	w.Used = s.records.used
 	w.EndsUnder = func(run standin.Run) bool { return s.endUnder(w, run) }
 	w.Script = func(out http.ResponseWriter, r *http.Request) { s.serve(w, out, r) }
-	s.worker = w
+	s.worker, s.leaving = w, false
 	if err := s.link.Retarget(w.Address()); err != nil {
 		return err
 	}
@@ -121,10 +122,23 @@
 func (s *slot) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = true
 	s.store.Put(s.worker.Row("draining"))
 	s.records.leaves(s.worker.ID)
 }
 
+// writeAgain writes the row of a server that runs once more.
+func (s *slot) writeAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.leaving:
+		s.store.Put(s.worker.Row("draining"))
+	case s.records.isAlive(s.worker.ID):
+		s.store.Put(s.worker.Row("ready"))
+	}
+}
+
 // relist brings the row of a server back that is alive.
 func (s *slot) relist() {
 	if !s.busy.TryLock() {
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -127,9 +127,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
+	w.putConfiguration()
+	w.records.configured(w.version)
+}
+
+// putConfiguration writes the newest version; the lock is held.
+func (w *world) putConfiguration() {
 	v := w.version
 	w.store.Put("op/config", standin.ConfigurationWith(v, []string{markerPrefix(v), markerPrefix(v - 1)}, []string{markerKey(v), markerKey(v - 1)}))
-	w.records.configured(v)
+}
+
+// writeConfiguration writes the newest version once more.
+func (w *world) writeConfiguration() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.putConfiguration()
 }
 
 func (w *world) newest() int {
@@ -261,9 +273,33 @@
 		w.configure()
 	case RowsLapse:
 		w.lapse(step.For)
+	case StoreRestored:
+		w.restore(step.For)
 	}
 }
 
+// restore brings the store back from a copy of some age. The operator and the servers write again what they
+// had written since, and rows that nobody keeps alive go again.
+func (w *world) restore(age time.Duration) {
+	older := w.store.Copy()
+	time.Sleep(age)
+	w.store.Refuse(http.StatusServiceUnavailable)
+	time.Sleep(storeAway)
+	w.store.Restore(older, nil)
+	w.store.Refuse(0)
+	time.Sleep(rowsBack)
+	w.writeConfiguration()
+	for _, s := range w.slots {
+		s.writeAgain()
+	}
+	for _, id := range w.records.endedServers() {
+		w.store.Remove(standin.RowKey(id))
+	}
+}
+
+// storeAway is how long the store is away before it comes back from a copy.
+const storeAway = 300 * time.Millisecond
+
 // lapse takes the store away, loses the rows of all servers meanwhile, and brings
 // those of the living back within two seconds of its return.
 func (w *world) lapse(length time.Duration) {
