--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -62,6 +62,7 @@
 		{TimedOut, 0, 100, 1, `"code":"route_timeout","outcome":"unknown"`},
 		{ServerFailed, 0, 100, 1, `"code":"connection_lost","outcome":"unknown"`},
 		{ServerFailed, 0, 100, 1, `"code":"engine_failed","outcome":"failed","firstMs":20`},
+		{EntryGone, 0, 100, 1, `"code":"stopping","outcome":"unknown","firstMs":20`},
 		{CallerGone, 0, 100, 1, `"code":"caller_gone","outcome":"unknown"`},
 	} {
 		log := ""
--- a/entry/account/cause.go
+++ b/entry/account/cause.go
@@ -36,7 +36,7 @@
 	TimedOut Cause = "timed out"
 	// ServerFailed: servers failed or broke off, and no further try was left.
 	ServerFailed Cause = "server failed"
-	// EntryGone: the entry ended before the request did.
+	// EntryGone: the entry ended before the request did, or had to end it at the limit of its stop.
 	EntryGone Cause = "entry gone"
 	// CallerGone: the caller left.
 	CallerGone Cause = "caller gone"
@@ -85,6 +85,8 @@
 			return cause
 		}
 		return RefusedOther
+	case end.Code == gateway.CodeStopping:
+		return EntryGone
 	case end.Code != "" || end.FirstMs == nil:
 		return ServerFailed
 	case *end.FirstMs > end.TargetMs:
