One way to take in a list of servers, and one set of what is open; 0.25 s for final answers

Merged what stood twice: the loop over a list's rows (after an outage, and after the store's return from an older copy), and the locked sets of open requests and connections. The time for final answers at the limit of a stop is 0.25 s in place of 0.15 s: a host with a seventh of a core may stand still for 0.09 s of it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -162,15 +162,7 @@
 // platform could not be read before: if many rows are missing then, they are given
 // ReturnGrace.
 func (d *Directory) Replace(now time.Time, servers []Server, revision uint64, afterOutage bool) []Change {
-	var changes []Change
-	listed := map[string]bool{}
-	for _, server := range servers {
-		listed[server.ID] = true
-		if change, ok := d.Upsert(server); ok {
-			changes = append(changes, change)
-		}
-	}
-	missing := d.missing(listed, revision)
+	changes, missing := d.takeList(servers, revision)
 	lapsed := afterOutage && float64(len(missing)) > massShare*float64(len(d.entries))
 	for _, id := range missing {
 		if lapsed {
@@ -188,35 +180,35 @@
 // written since the copy was made is written again soon: a server that is not listed is given ReturnGrace,
 // and the row of a start that has left is believed only once it is written anew.
 func (d *Directory) Restore(now time.Time, servers []Server, revision uint64) []Change {
-	var changes []Change
-	listed := map[string]bool{}
 	for _, server := range servers {
-		listed[server.ID] = true
 		if left, ok := d.left[server.ID]; ok && server.Born <= left.born {
 			left.revision = max(left.revision, server.Revision)
 			d.left[server.ID] = left
-			continue
-		}
-		if change, ok := d.Upsert(server); ok {
-			changes = append(changes, change)
 		}
 	}
-	for _, id := range d.missing(listed, revision) {
+	changes, missing := d.takeList(servers, revision)
+	for _, id := range missing {
 		d.entries[id].miss(now)
 	}
 	return changes
 }
 
-// missing returns the known servers that a list of a revision should hold and does
-// not.
-func (d *Directory) missing(listed map[string]bool, revision uint64) []string {
-	var ids []string
+// takeList takes in the rows of a list of a revision. It returns also the known servers that the list
+// should hold and does not.
+func (d *Directory) takeList(servers []Server, revision uint64) (changes []Change, missing []string) {
+	listed := map[string]bool{}
+	for _, server := range servers {
+		listed[server.ID] = true
+		if change, ok := d.Upsert(server); ok {
+			changes = append(changes, change)
+		}
+	}
 	for _, id := range d.ids() {
 		if !listed[id] && d.entries[id].Revision <= revision {
-			ids = append(ids, id)
+			missing = append(missing, id)
 		}
 	}
-	return ids
+	return changes, missing
 }
 
 func (e *entry) miss(now time.Time) {
--- a/core/lifecycle/manager.go
+++ b/core/lifecycle/manager.go
@@ -39,7 +39,7 @@
 }
 
 // AnswerTime is how long open requests have to answer their callers once Ending is done.
-const AnswerTime = 150 * time.Millisecond
+const AnswerTime = 250 * time.Millisecond
 
 // NewManager returns a manager in Starting. onChange may be nil; it is called
 // without the lock.
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,17 +14,14 @@
 // connections watches the callers' connections. Those that wait for a request end by the
 // idle limit of the configuration in force; the limit of http.Server can't change while it
 // serves.
-type connections struct {
-	mu   sync.Mutex
-	open map[*callerConnection]struct{}
-}
+type connections struct{ open openSet[*callerConnection] }
 
 // callerConnection is a caller's connection. http.Server takes it for idle until it has read the next
 // request's headers; it is closed as idle only as long as no byte of them has come.
 type callerConnection struct {
 	net.Conn
 	mu sync.Mutex
-	// use is since when the connection is used as it is now.
+	// use is what the connection is used for, since when.
 	use   use
 	since time.Time
 }
@@ -101,37 +96,16 @@
 	case http.StateIdle:
 		caller.set(useIdle)
 	case http.StateNew:
-		c.add(caller)
+		c.open.add(caller)
 	case http.StateClosed, http.StateHijacked:
-		c.remove(caller)
+		c.open.remove(caller)
 	}
 }
 
-func (c *connections) add(caller *callerConnection) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.open == nil {
-		c.open = map[*callerConnection]struct{}{}
-	}
-	c.open[caller] = struct{}{}
-}
-
-func (c *connections) remove(caller *callerConnection) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.open, caller)
-}
-
-func (c *connections) list() []*callerConnection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Collect(maps.Keys(c.open))
-}
-
 // countAnswering counts the connections with an answer that is not written to its last byte.
 func (c *connections) countAnswering() int {
 	count := 0
-	for _, caller := range c.list() {
+	for _, caller := range c.open.list() {
 		if caller.isAnswering() {
 			count++
 		}
@@ -141,7 +115,7 @@
 
 // closeIdle ends the connections that have been idle for as long as a limit.
 func (c *connections) closeIdle(now time.Time, limit time.Duration) {
-	for _, caller := range c.list() {
+	for _, caller := range c.open.list() {
 		if caller.endIdle(now, limit) {
 			// A close that fails leaves nothing to do: the connection is gone.
 			_ = caller.Close()
--- a/entry/gateway/open.go
+++ b/entry/gateway/open.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,35 +27,31 @@
 
 func (p phase) String() string { return phaseNames[p] }
 
-// openRequests are the requests that have come and not ended.
-type openRequests struct {
+// openSet holds what has come and not ended. It is safe for concurrent use.
+type openSet[T comparable] struct {
 	mu  sync.Mutex
-	all map[*exchange]struct{}
+	all map[T]struct{}
 }
 
-func (o *openRequests) add(e *exchange) {
+func (o *openSet[T]) add(member T) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.all == nil {
-		o.all = map[*exchange]struct{}{}
+		o.all = map[T]struct{}{}
 	}
-	o.all[e] = struct{}{}
+	o.all[member] = struct{}{}
 }
 
-func (o *openRequests) remove(e *exchange) {
+func (o *openSet[T]) remove(member T) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.all, e)
+	delete(o.all, member)
 }
 
-func (o *openRequests) list() []*exchange {
+func (o *openSet[T]) list() []T {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	list := make([]*exchange, 0, len(o.all))
-	for e := range o.all {
-		list = append(list, e)
-	}
-	return list
+	return slices.Collect(maps.Keys(o.all))
 }
 
 // phaseOf is set by the request's own goroutine and read by others.
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -60,7 +60,7 @@
 	// readOptions say how this entry takes part in reading the store.
 	readOptions atomic.Pointer[peering.ReadOptions]
 	connections connections
-	open        openRequests
+	open        openSet[*exchange]
 	peers       *peerExchange
 	tomb        *tomb.Tomb
 	// loaded is the settings as last read; only the settings loop uses it.
