--- a/proof/forwarding/day.go
+++ b/proof/forwarding/day.go
@@ -21,8 +21,10 @@
 type day struct {
 	site   *Site
 	random *rand.Rand
-	// ties is apart from random, so that all policies see the same callers.
+	// ties and picks are apart from random, so that all policies see the same callers: a
+	// policy decides how often callers return, and each return picks an entry.
 	ties    *rand.Rand
+	picks   *rand.Rand
 	now     float64
 	queue   events
 	entries []*placement.Book
@@ -101,7 +103,7 @@
 
 // Play plays one day with the options of the entries' placement.
 func Play(site Site, seed uint64, options placement.Options) *Result {
-	d := &day{site: &site, random: rand.New(rand.NewPCG(seed, 1)), ties: rand.New(rand.NewPCG(seed, 2)), engines: map[string]*enginemodel.Batcher{},
+	d := &day{site: &site, random: rand.New(rand.NewPCG(seed, 1)), ties: rand.New(rand.NewPCG(seed, 2)), picks: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*enginemodel.Batcher{},
 		jobs: map[string]*request{}, away: map[int]bool{}, down: map[string]bool{}, result: &Result{Classes: make([]Outcome, len(site.Classes))}}
 	for i := range site.Entries {
 		options.Zone = zoneName(i % site.Zones)
@@ -237,7 +239,7 @@
 	if len(running) == 0 {
 		return 0, false
 	}
-	return running[d.random.IntN(len(running))], true
+	return running[d.picks.IntN(len(running))], true
 }
 
 // watch makes the caller leave after a pause that is longer than its patience. One that
--- a/proof/forwarding/site.go
+++ b/proof/forwarding/site.go
@@ -118,6 +118,18 @@
 	return site
 }
 
+// ZagaraTurned returns the press's deployment once its work has shifted: more servers than grown, middle
+// prompts twice as often, and turns of the mix every ten seconds.
+func ZagaraTurned(load float64) Site {
+	site := ZagaraGrown(load)
+	site.Engines, site.Entries = 69, 23
+	short, middle, long := &site.Classes[0], &site.Classes[1], &site.Classes[2]
+	short.PerSecond, middle.PerSecond, long.PerSecond = 83.2, 9.17, 2.26
+	site.Phases = []Phase{turn(load, 0, 1, 1, 1), turn(load, 2, 0.38, 1.3, 2.8), turn(load, 12, 1, 1, 1), turn(load, 13, 2.4, 0.5, 0.05),
+		turn(load, 23, 0.35, 1.3, 2.8), turn(load, 33, 1, 1, 1)}
+	return site
+}
+
 // ZagaraLarge returns a part of the press's large deployment: as many engines and entries
 // with a share of its traffic, from one zone (27 of 135 engines) to all of it. Entries choose
 // among the part's engines only.
--- a/proof/forwarding/tuning_test.go
+++ b/proof/forwarding/tuning_test.go
@@ -37,6 +37,25 @@
 var largeDays = []namedDay{{"large 0.8", ZagaraLarge(0.8, 27), 12}, {"large 1", ZagaraLarge(1, 27), 12}, {"large 1.1", ZagaraLarge(1.1, 27), 12},
 	{"large power", Restarted(ZagaraLarge(1, 27), 14*time.Second, true), 12}}
 
+// turnedDays are days of the press's deployment once its work has shifted: usual, heavier, and with a
+// restart of all entries beside mostly long prompts, each with servers shared and divided by zone.
+var turnedDays = []namedDay{{"turned 0.85", ZagaraTurned(0.85), 6}, {"turned 1", ZagaraTurned(1), 6}, {"turned 1.1", ZagaraTurned(1.1), 6},
+	{"turned power", Restarted(ZagaraTurned(1), 31*time.Second, true), 6}, {"divided 1", divided(ZagaraTurned(1), 3), 6},
+	{"divided power", divided(Restarted(ZagaraTurned(1), 31*time.Second, true), 3), 6}}
+
+func divided(site Site, parts int) Site {
+	site.Parts = parts
+	return site
+}
+
+// BenchmarkTurned plays variants of the options on days of the press's deployment once its work has shifted.
+func BenchmarkTurned(b *testing.B) {
+	variants(b, func(name string, options placement.Options) {
+		mean, line := playNamed(turnedDays, options, (*Result).Score)
+		fmt.Fprintf(os.Stderr, "turned %-40s mean %.4f%s\n", name, mean, line)
+	})
+}
+
 // BenchmarkLarge plays variants of the options on days of a zone of the large deployment.
 func BenchmarkLarge(b *testing.B) {
 	variants(b, func(name string, options placement.Options) {
