Count answers that are about to begin in the harm of a read

Callers saw: the first event of a long prompt's answer in time, and then a pause of one to three seconds before the second. Cause: a read costs the pauses of the answers that are written at its servers. An answer counted only from its first event on; for a long prompt that is two to four seconds after it was placed. A longer prompt, placed some ms before that event, found a server that looked empty, and its part, of one to three seconds, became the first pause. Ruled out: news that came late (most reads were chosen over 80 ms after the answer's prompt was placed), and a run of small reads. Change: the harm counts every prompt that is to be answered at a server, whether its first event has come or not. It is left out where the new part is read before it, at a server that writes nothing: then its first event is late by it, which the delay counts, and no pause is longer.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -313,7 +313,7 @@
 	all := make([]ranked, 0, len(candidates))
 	for i, c := range candidates {
 		slowed := readMs * c.state.trust.slowness()
-		helper := c.loss + b.harm(c, slowed)
+		helper := c.loss + b.harm(c, slowed, split)
 		if split {
 			helper += b.delayLoss(now, c, slowed)
 		}
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -12,25 +12,31 @@
 	return 1 + float64(promptTokens)/b.options.TokensPerValue
 }
 
-// harm is what a read does to the answers being written: the chance that it makes
-// their pause too long, by their value. Pauses that are too long already count no
-// more.
-func (b *Book) harm(c *candidate, readMs float64) float64 {
-	if c.batch.Answers == 0 {
-		return 0
-	}
-	before := enginemodel.Millis(c.passMs+c.backlogMs) + b.options.GapMargin
-	after := before + enginemodel.Millis(readMs)
+// harm is what a read does to the answers of a server: the chance that it makes their pause too
+// long, by their value. Pauses that are too long already count no more. An answer that is about to
+// begin counts like one that is being written: its first event comes while the new read waits, and the
+// read makes its first pause.
+func (b *Book) harm(c *candidate, readMs float64, split bool) float64 {
 	sum := 0.0
 	for _, w := range c.state.works {
 		gap := w.dispatch.Gap
-		if w.writing && gap > 0 {
-			sum += b.value(w.dispatch.PromptTokens) * b.options.LateLoss * (lateShare(after, gap) - lateShare(before, gap))
+		if w.index != 0 || gap <= 0 || c.readsBefore(w, split) {
+			continue
 		}
+		before := enginemodel.Millis(c.passMs+c.backlogMs-w.readMs) + b.options.GapMargin
+		after := before + enginemodel.Millis(readMs)
+		sum += b.value(w.dispatch.PromptTokens) * b.options.LateLoss * (lateShare(after, gap) - lateShare(before, gap))
 	}
 	return sum
 }
 
+// readsBefore says whether a new read is done before a prompt that waits to be read: an engine that
+// writes nothing takes up the newest part at once. The answer's first event is late by it then, and no
+// pause is longer.
+func (c *candidate) readsBefore(w *work, split bool) bool {
+	return split && w.readMs > 0 && c.batch.Answers == 0
+}
+
 // joinLoss is the cost of writing the answer here: full slots, and the gain of
 // packing it beside answers that bear pauses alike. Only answers that are being written
 // draw others: they show that the server works, while one that has just been chosen may be
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// aboutToAnswer books a prompt that a server is about to answer: its part there is read, another server still
+// reads one.
+func aboutToAnswer(b *Book, id, server, helper string, q Query) {
+	b.Begin(start, Dispatch{ID: id, Server: server, Helpers: []string{helper}, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens, Gap: q.Gap,
+		Target: q.Target, Life: q.Remaining}, engine, 0)
+	for _, w := range b.servers[server].works {
+		w.readMs = 0
+	}
+}
+
+// Long answers paused for seconds, right after their first event. A longer prompt had been sent to their
+// servers some ms before that event, when the book held no answer there.
+func TestALongReadKeepsAwayFromAnswersThatAreAboutToBegin(t *testing.T) {
+	b, servers := newBook(), fleet(17)
+	aboutToAnswer(b, "long", "s00", "s16", longQuery(servers, 200_000))
+	choice := choose(t, b, longQuery(servers[:16], 400_000))
+	require.NotContains(t, used(choice), "s00")
+}
+
+// A part that is read before another prompt's makes that one's first event late, and no pause longer.
+func TestAReadThatGoesFirstMakesNoPauseLonger(t *testing.T) {
+	b := newBook()
+	q := longQuery(fleet(1), 200_000)
+	b.Begin(start, Dispatch{ID: "waits", Server: "s00", PromptTokens: q.PromptTokens, Gap: q.Gap, Target: q.Target, Life: q.Remaining}, engine, 0)
+	c := &candidate{}
+	b.assess(start, q, q.Servers[0], c)
+	require.Zero(t, b.harm(c, 2000, true))
+	require.Positive(t, b.harm(c, 2000, false), "an undivided prompt is read after it")
+	write(b, "written", "s00", q)
+	b.assess(start, q, q.Servers[0], c)
+	require.Positive(t, b.harm(c, 2000, true), "beside an answer a pass takes all reads")
+}
+
 // Short answers are packed: the thirteenth joins those that are there in place of
 // taking a server that long prompts could be read on.
 func TestShortAnswersArePacked(t *testing.T) {
--- a/proof/forwarding/forwarding_test.go
+++ b/proof/forwarding/forwarding_test.go
@@ -137,6 +137,15 @@
 	}
 }
 
+// Callers of the longest kind got their first event in time and then waited for seconds for the second:
+// long reads were sent to servers whose own long prompt was about to be answered. Plays a mix with most of
+// the work in long prompts.
+func TestLongAnswersHardlyPauseBesideLongReads(t *testing.T) {
+	total := playSeeds(ZagaraTurned(1), 4, placement.DefaultOptions(""))
+	long := total.Classes[2]
+	require.Less(t, float64(long.LateGap), 0.05*float64(long.Asked))
+}
+
 // One worker alone: the same short prompts at a real worker gave a median
 // first event of 37, 105 and 124 ms at half a request, three and six a second.
 func TestOneWorkerAloneIsAsFastAsMeasured(t *testing.T) {
