Count what parts cost a waiting prompt once for all of them

Hypothesis: each part of a new long prompt pushes back what waits at its server, since engines read the newest part first. The sum over the parts counts a divided prompt that waits at several of these servers once for each, though its first event follows its last part in any case. Ruled out: news that came late (the choosers knew of the waiting prompts), slow servers. Change: servers are added one by one, each with what it costs beside those chosen already. It stands in parts.go now, with the rest of what decides on a prompt's parts; choose.go has one job less.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -256,128 +255,6 @@
 	return known
 }
 
-// chooseParts finds the best servers for a prompt read in a number of parts.
-func (b *Book) chooseParts(now time.Time, candidates []*candidate, q Query, parts int) (Choice, bool) {
-	readMs := q.Engine.ReadMs(q.PromptTokens, parts)
-	ranked := b.rank(now, candidates, q, readMs, parts > 1)
-	first := b.pickFirst(ranked, q, parts)
-	if first < 0 {
-		return Choice{}, false
-	}
-	chosen := []*candidate{ranked[first].candidate}
-	loss, others := ranked[first].loss, ranked[first].helperLoss
-	for i, r := range ranked {
-		if len(chosen) == parts {
-			break
-		}
-		if i != first {
-			chosen = append(chosen, r.candidate)
-			loss += r.helperLoss
-			others += r.helperLoss
-		}
-	}
-	held, ok := b.hold(chosen, q)
-	if !ok {
-		return Choice{}, false
-	}
-	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Unreachable: chosen[0].state.trust.isLeftAlone(now), Held: held,
-		others: others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
-	slowest := 0.0
-	for _, c := range chosen {
-		slowest = max(slowest, b.firstEventMs(c, q, readMs))
-	}
-	for _, c := range chosen[1:] {
-		choice.Helpers = append(choice.Helpers, c.Server)
-	}
-	choice.Predicted = enginemodel.Millis(slowest) + b.options.NetworkTime
-	choice.Answering = chosen[0].answering(q, parts)
-	if held != nil && q.HoldLimit > 0 && choice.Predicted > q.HoldLimit {
-		return Choice{}, false
-	}
-	choice.Loss = loss + b.lateLoss(q, choice.Predicted) + float64(parts)*b.options.PartLoss
-	return choice, true
-}
-
-type ranked struct {
-	*candidate
-	// loss counts for the server that writes the answer, helperLoss for one
-	// that only reads.
-	loss, helperLoss float64
-	// order ranks the servers: it also counts the wait there, which the whole
-	// choice counts once.
-	order float64
-}
-
-// rank orders servers by what a read there would cost.
-func (b *Book) rank(now time.Time, candidates []*candidate, q Query, readMs float64, split bool) []ranked {
-	all := make([]ranked, 0, len(candidates))
-	for i, c := range candidates {
-		slowed := readMs * c.state.trust.slowness()
-		helper := c.loss + b.harm(c, slowed, split)
-		if split {
-			helper += b.delayLoss(now, c, slowed)
-		}
-		// The tie-break turns the order of equal servers round by a random
-		// place.
-		tie := math.Mod(float64(i)/float64(len(candidates))+q.Tie, 1) * tieLoss
-		order := helper + b.waitLoss(q, c, readMs) + tie
-		all = append(all, ranked{c, helper + b.joinLoss(c, q), helper, order})
-	}
-	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.order, b.order) })
-	return all
-}
-
-const tieLoss = 0.002
-
-// pickFirst returns the place of the server that writes the answer: the best one
-// that has the memory for all of it. A prompt that is larger than any server's
-// memory is spread over reservations by the best one. It returns -1 if a prompt that
-// would fit an empty server fits none now: spread as well, it would keep memory from
-// prompts that are read at less cost.
-func (b *Book) pickFirst(all []ranked, q Query, parts int) int {
-	need := q.PromptTokens + q.AnswerTokens
-	if need <= int64(b.options.MemoryShare*float64(q.Engine.MemoryTokens)) {
-		return bestFirst(all, need)
-	}
-	if parts == 1 {
-		return -1
-	}
-	return bestFirst(all, 0)
-}
-
-// bestFirst returns the place of the best server with some free memory, or -1.
-func bestFirst(all []ranked, need int64) int {
-	best := -1
-	for i, r := range all {
-		if r.free < need {
-			continue
-		}
-		if best < 0 || r.firstOrder() < all[best].firstOrder() {
-			best = i
-		}
-	}
-	return best
-}
-
-// firstOrder ranks a server for writing the answer.
-func (r *ranked) firstOrder() float64 { return r.order + r.loss - r.helperLoss }
-
-// hold divides the memory of a prompt that is larger than the first server's free
-// memory over reservations at all chosen servers. It returns none if the first
-// server holds it all.
-func (b *Book) hold(chosen []*candidate, q Query) ([]int64, bool) {
-	need := q.PromptTokens + q.AnswerTokens
-	if chosen[0].free >= need {
-		return nil, true
-	}
-	held := make([]int64, len(chosen))
-	for i := range chosen {
-		held[i] = min(max(chosen[i].free, 0), need)
-		need -= held[i]
-	}
-	return held, need == 0
-}
-
 // choosePlain picks a plain service's server: trusted, near, and with the least
 // requests for its slots.
 func (b *Book) choosePlain(now time.Time, candidates []*candidate, q Query) Choice {
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -86,11 +86,12 @@
 	return b.value(q.PromptTokens) * b.options.LateLoss * 0.2 * (b.firstEventMs(c, q, readMs) / (q.Target.Seconds() * msPerSecond))
 }
 
-// delayLoss is what a part does to the reads that wait at a server: an engine
-// reads the newest part first, so all of them come later by as much. Without it,
-// each new long prompt pushes the earlier ones back until none is in time.
-func (b *Book) delayLoss(now time.Time, c *candidate, readMs float64) float64 {
-	sum, ahead := 0.0, c.passMs
+// delays are what a part costs the reads that wait at a server: an engine reads the newest part
+// first, so all of them come later by as much. Without it, each new long prompt pushes the earlier
+// ones back until none is in time.
+func (b *Book) delays(now time.Time, c *candidate, readMs float64) []delay {
+	var found []delay
+	ahead := c.passMs
 	for _, w := range c.state.readOrder() {
 		ahead += w.readMs
 		target := w.dispatch.Target
@@ -98,10 +99,12 @@
 			continue
 		}
 		end := now.Sub(w.began) + enginemodel.Millis(ahead)
-		value := b.value(w.dispatch.PromptTokens) * b.options.LateLoss
-		sum += value * (lateShare(end+enginemodel.Millis(readMs), target) - lateShare(end, target))
+		share := lateShare(end+enginemodel.Millis(readMs), target) - lateShare(end, target)
+		if loss := b.value(w.dispatch.PromptTokens) * b.options.LateLoss * share; loss > 0 {
+			found = append(found, delay{w.dispatch, loss})
+		}
 	}
-	return sum
+	return found
 }
 
 // firstEventMs predicts when a part read here is done and the next event comes.
--- /dev/null
+++ b/core/placement/parts.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"arbutusdeck/core/enginemodel"
+)
+
+// chooseParts finds the best servers for a prompt read in a number of parts.
+func (b *Book) chooseParts(now time.Time, candidates []*candidate, q Query, parts int) (Choice, bool) {
+	readMs := q.Engine.ReadMs(q.PromptTokens, parts)
+	ranked := b.rank(now, candidates, q, readMs, parts > 1)
+	first := b.pickFirst(ranked, q, parts)
+	if first < 0 {
+		return Choice{}, false
+	}
+	group := newGroup(&ranked[first])
+	for len(group.members) < parts {
+		group.add(group.cheapest(ranked))
+	}
+	chosen := group.members
+	held, ok := b.hold(chosen, q)
+	if !ok {
+		return Choice{}, false
+	}
+	choice := Choice{Server: chosen[0].Server, Known: chosen[0].known(now), Unreachable: chosen[0].state.trust.isLeftAlone(now), Held: held,
+		others: group.others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
+	slowest := 0.0
+	for _, c := range chosen {
+		slowest = max(slowest, b.firstEventMs(c, q, readMs))
+	}
+	for _, c := range chosen[1:] {
+		choice.Helpers = append(choice.Helpers, c.Server)
+	}
+	choice.Predicted = enginemodel.Millis(slowest) + b.options.NetworkTime
+	choice.Answering = chosen[0].answering(q, parts)
+	if held != nil && q.HoldLimit > 0 && choice.Predicted > q.HoldLimit {
+		return Choice{}, false
+	}
+	choice.Loss = group.loss + b.lateLoss(q, choice.Predicted) + float64(parts)*b.options.PartLoss
+	return choice, true
+}
+
+type ranked struct {
+	*candidate
+	// loss counts for the server that writes the answer, helperLoss for one
+	// that only reads.
+	loss, helperLoss float64
+	// delays are the parts of helperLoss that prompts bear which wait here.
+	delays []delay
+	// order ranks the servers: it also counts the wait there, which the whole
+	// choice counts once.
+	order float64
+	taken bool
+}
+
+// delay is what a read costs a prompt that waits at a server.
+type delay struct {
+	waiting *Dispatch
+	loss    float64
+}
+
+// group is the servers that read the parts of a prompt.
+type group struct {
+	members []*candidate
+	// loss is what the read costs at all of them, others what others bear of it.
+	loss, others float64
+	// delayed is what waiting prompts lose by the parts so far. The first event of a divided prompt
+	// follows its last part, wherever: parts at several of its servers delay it once.
+	delayed map[*Dispatch]float64
+}
+
+func newGroup(first *ranked) *group {
+	g := &group{members: []*candidate{first.candidate}, loss: first.loss, others: first.helperLoss, delayed: map[*Dispatch]float64{}}
+	g.note(first)
+	return g
+}
+
+// cheapest returns the server at which one more part costs least.
+func (g *group) cheapest(all []ranked) *ranked {
+	var best *ranked
+	lowest := math.Inf(1)
+	for i := range all {
+		if r := &all[i]; !r.taken && r.order-g.counted(r) < lowest {
+			best, lowest = r, r.order-g.counted(r)
+		}
+	}
+	return best
+}
+
+// counted is the loss of prompts waiting at a server that other parts cause already.
+func (g *group) counted(r *ranked) float64 {
+	sum := 0.0
+	for _, d := range r.delays {
+		sum += math.Min(g.delayed[d.waiting], d.loss)
+	}
+	return sum
+}
+
+func (g *group) add(r *ranked) {
+	cost := r.helperLoss - g.counted(r)
+	g.members = append(g.members, r.candidate)
+	g.loss += cost
+	g.others += cost
+	g.note(r)
+}
+
+func (g *group) note(r *ranked) {
+	r.taken = true
+	for _, d := range r.delays {
+		g.delayed[d.waiting] = math.Max(g.delayed[d.waiting], d.loss)
+	}
+}
+
+// rank orders servers by what a read there would cost.
+func (b *Book) rank(now time.Time, candidates []*candidate, q Query, readMs float64, split bool) []ranked {
+	all := make([]ranked, 0, len(candidates))
+	for i, c := range candidates {
+		slowed := readMs * c.state.trust.slowness()
+		helper := c.loss + b.harm(c, slowed, split)
+		var delays []delay
+		if split {
+			delays = b.delays(now, c, slowed)
+		}
+		for _, d := range delays {
+			helper += d.loss
+		}
+		// The tie-break turns the order of equal servers round by a random
+		// place.
+		tie := math.Mod(float64(i)/float64(len(candidates))+q.Tie, 1) * tieLoss
+		order := helper + b.waitLoss(q, c, readMs) + tie
+		all = append(all, ranked{candidate: c, loss: helper + b.joinLoss(c, q), helperLoss: helper, delays: delays, order: order})
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.order, b.order) })
+	return all
+}
+
+const tieLoss = 0.002
+
+// pickFirst returns the place of the server that writes the answer: the best one
+// that has the memory for all of it. A prompt that is larger than any server's
+// memory is spread over reservations by the best one. It returns -1 if a prompt that
+// would fit an empty server fits none now: spread as well, it would keep memory from
+// prompts that are read at less cost.
+func (b *Book) pickFirst(all []ranked, q Query, parts int) int {
+	need := q.PromptTokens + q.AnswerTokens
+	if need <= int64(b.options.MemoryShare*float64(q.Engine.MemoryTokens)) {
+		return bestFirst(all, need)
+	}
+	if parts == 1 {
+		return -1
+	}
+	return bestFirst(all, 0)
+}
+
+// bestFirst returns the place of the best server with some free memory, or -1.
+func bestFirst(all []ranked, need int64) int {
+	best := -1
+	for i, r := range all {
+		if r.free < need {
+			continue
+		}
+		if best < 0 || r.firstOrder() < all[best].firstOrder() {
+			best = i
+		}
+	}
+	return best
+}
+
+// firstOrder ranks a server for writing the answer.
+func (r *ranked) firstOrder() float64 { return r.order + r.loss - r.helperLoss }
+
+// hold divides the memory of a prompt that is larger than the first server's free
+// memory over reservations at all chosen servers. It returns none if the first
+// server holds it all.
+func (b *Book) hold(chosen []*candidate, q Query) ([]int64, bool) {
+	need := q.PromptTokens + q.AnswerTokens
+	if chosen[0].free >= need {
+		return nil, true
+	}
+	held := make([]int64, len(chosen))
+	for i := range chosen {
+		held[i] = min(max(chosen[i].free, 0), need)
+		need -= held[i]
+	}
+	return held, need == 0
+}
--- /dev/null
+++ b/core/placement/parts_test.go
@@ -0,0 +1,23 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Several long prompts were late where one would have sufficed. Each part of a new prompt was sent to the server at
+// which it cost least, and each of them pushed back another waiting prompt, whose first event follows its last part.
+func TestPartsDelayOnePromptRatherThanSeveral(t *testing.T) {
+	divided, other := &Dispatch{ID: "divided"}, &Dispatch{ID: "other"}
+	at := func(waiting *Dispatch, loss, order float64) ranked {
+		return ranked{candidate: &candidate{}, loss: loss, helperLoss: loss, order: order, delays: []delay{{waiting, loss}}}
+	}
+	all := []ranked{at(divided, 4, 4), at(other, 4, 4.1), at(divided, 5, 5)}
+	g := newGroup(&all[0])
+	require.Same(t, &all[2], g.cheapest(all))
+	g.add(&all[2])
+	require.InDelta(t, 5, g.loss, 1e-9, "the prompt is late once")
+	g.add(g.cheapest(all))
+	require.InDelta(t, 9, g.others, 1e-9)
+}
