Hold requests that come while an entry starts

Callers saw: 503 and that no configuration is known, from entries that had just started, as they came back after all entries had failed. Most had no try left. Cause: an entry takes connections before it knows a configuration and the list of servers, 0.05 to 0.2 s after its start, and answered at once what it could not know to be impossible. Ruled out: readiness (the balancer uses entries that are not ready where half of a zone's are not). Change: such a request waits until the entry serves, 0.8 s or a quarter of its time at the most. After that it is refused as before.

--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -82,6 +82,7 @@
 		e.refuse(http.StatusServiceUnavailable, e.stopRefusal())
 		return
 	}
+	e.awaitStart()
 	if e.admit() {
 		e.run()
 	}
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -63,6 +63,21 @@
 	require.NoError(t, ready.Body.Close())
 }
 
+// Callers whose entries had all failed came back as these started, were refused for want of a configuration, and
+// had no try left. It came a tenth of a second later.
+func TestARequestWaitsForAnEntryThatStarts(t *testing.T) {
+	w := newWorld(t)
+	s := w.start(w.settings())
+	result := make(chan reply, 1)
+	go func() { result <- w.call(s, http.MethodGet, "/read/", 0, "") }()
+	w.eventually("it waits", func() bool { return s.manager.Open() == 1 })
+	w.worker("i-1", "plain", nil)
+	w.configure(nil)
+	r := <-result
+	require.NoError(t, r.err)
+	require.Equal(t, 200, r.status, r.body)
+}
+
 // The caller of an order gets 502 at once. The worker ran it and the connection
 // broke before the answer; another run could charge it twice.
 func TestAnOrderWhoseAnswerIsLostRunsOnce(t *testing.T) {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -56,6 +56,7 @@
 	orders      *http.Client
 	store       *platform.Store
 	table       atomic.Pointer[routes.Table]
+	started     chan struct{}             // closed when this entry has left the state of starting
 	stopping    atomic.Pointer[time.Time] // when the notice to stop came
 	// readOptions say how this entry takes part in reading the store.
 	readOptions atomic.Pointer[peering.ReadOptions]
@@ -106,8 +107,8 @@
 	s := &Server{
 		options: options, settings: settings, loaded: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), book: placement.NewBook(placement.DefaultOptions(settings.Zone)),
-		divisions: map[string]parts.Division{},
-		budgets:   map[string]*execution.RetryBudget{}, watch: quarantine.NewWatch(), apart: quarantine.NewApart(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		divisions: map[string]parts.Division{}, started: make(chan struct{}),
+		budgets: map[string]*execution.RetryBudget{}, watch: quarantine.NewWatch(), apart: quarantine.NewApart(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pause: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
@@ -133,6 +134,9 @@
 func (s *Server) stateChanged(from, to lifecycle.State) {
 	s.log.WithFields(logrus.Fields{"from": from, "to": to, "open": s.manager.Open(), "unwritten": s.connections.countAnswering()}).Info("state changed")
 	s.audit(audit.Event{Area: audit.Lifecycle, Subject: s.options.Settings.Name, From: string(from), To: string(to), Why: "lifecycle", Source: "process"})
+	if from == lifecycle.Starting {
+		close(s.started)
+	}
 	switch to {
 	case lifecycle.Serving:
 		s.peers.announce()
--- /dev/null
+++ b/entry/gateway/start.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"time"
+
+	"arbutusdeck/core/lifecycle"
+)
+
+const (
+	// startPatience bounds how long a request waits for an entry that has just started: some starts'
+	// time. After that the store is probably away, and nobody knows for how long. Callers give up on an
+	// entry that has not read an idempotent request after a second.
+	startPatience = 800 * time.Millisecond
+	// startShare is the part of its time that a request waits at the most.
+	startShare = 0.25
+)
+
+// awaitStart holds a request that comes before the entry serves, since it knows no configuration or no servers
+// yet. Both are there within some tenths of a second; a caller whose entries have just failed comes back at once,
+// and one that is refused then has no try left.
+func (e *exchange) awaitStart() {
+	if e.s.manager.State() != lifecycle.Starting {
+		return
+	}
+	wait := startPatience
+	if e.info.Remaining > 0 {
+		wait = min(wait, time.Duration(startShare*float64(e.info.Remaining)))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-e.s.started:
+	case <-timer.C:
+	case <-e.r.Context().Done():
+	case <-e.s.manager.Ending().Done():
+	}
+}
