Let the target of a question that is due be compared

Callers: none so far.

Cause: an entry that asks another zone for a place names the request's target. Such a message would end each entry that is asked.

Change: a target that is due counts as a millisecond, in the choice itself; the forwarding entry did so for its own requests alone.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -8,7 +8,7 @@
 // and all of them would be late, for as long as callers come back.
 func (b *Book) overloaded(best Choice, q Query) bool {
 	limit := time.Duration(b.options.ShedShare * float64(q.Target))
-	return q.PromptTokens <= b.options.ShortTokens && best.slotsTaken && best.Predicted > limit && q.Target > time.Millisecond
+	return q.PromptTokens <= b.options.ShortTokens && best.slotsTaken && best.Predicted > limit && q.Target > leastTarget
 }
 
 // answerSpread is how much longer than expected an answer may take: callers' estimates of its length are
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -104,8 +104,12 @@
 	loss      float64 // distrust and distance
 }
 
+// leastTarget stands for the target of a request whose first event is due: losses are counted in targets.
+const leastTarget = time.Millisecond
+
 // Choose picks servers for a request. The refusal is empty if there is a choice.
 func (b *Book) Choose(now time.Time, q Query) (Choice, Refusal) {
+	q.Target = max(q.Target, leastTarget)
 	choice, refusal := b.choose(now, q)
 	if refusal != "" {
 		choice.RetryAfter = retryAfter(refusal, choice)
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -133,9 +133,6 @@
 // a slope around the target because predictions err.
 func (b *Book) lateLoss(q Query, predicted time.Duration) float64 {
 	value := b.value(q.PromptTokens)
-	if q.Target <= 0 {
-		return 0
-	}
 	loss := value * b.options.LateLoss * lateShare(predicted, time.Duration(b.options.TargetShare*float64(q.Target)))
 	if predicted > q.Remaining {
 		loss += value
--- a/core/placement/parts_test.go
+++ b/core/placement/parts_test.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -21,3 +23,15 @@
 	g.add(g.cheapest(all))
 	require.InDelta(t, 9, g.others, 1e-9)
 }
+
+// An entry with a fault asks for a place for a long prompt whose first event is due at once. No loss could be compared
+// with another, and the process ended while it looked for the cheapest server.
+func TestAPromptThatIsDueAtOnceFindsServers(t *testing.T) {
+	for _, target := range []time.Duration{0, -time.Second} {
+		q := longQuery(fleet(3), 200_000)
+		q.Target, q.Gap = target, -1
+		choice, refusal := newBook().Choose(start, q)
+		require.Empty(t, refusal)
+		require.False(t, math.IsNaN(choice.Loss))
+	}
+}
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -90,6 +90,7 @@
 	{"waiting for a slot is no stall", "core/placement/stall.go", "	if s.requests() > s.engine.Slots {\n		return longest\n	}\n", "", placementPkg, "TestWaitingForASlot"},
 	{"a late prompt does not stall all answers", "core/placement/choose.go", "best.Wait == 0 && b.crowdsOut(best, q)", "false", placementPkg, "TestALatePromptDoesNotStall"},
 	{"only written answers draw others", "core/placement/loss.go", "			if w.writing {\n", "			if w.index == 0 {\n", placementPkg, "TestOnlyWrittenAnswers"},
+	{"a target that is due can be compared", "core/placement/choose.go", "	q.Target = max(q.Target, leastTarget)\n", "", placementPkg, "TestAPromptThatIsDue"},
 	{"a herd is spread", "core/placement/loss.go", "	gain *= math.Max(1-used, 0)\n", "	gain *= math.Max(1, 0*used)\n", placementPkg, "TestAHerd"},
 	{"a reservation ends before it counts as unused", "core/placement/parts.go", "choice.Predicted > q.HoldLimit", "false", placementPkg, "TestAReservationEnds"},
 	{"slots that are exceeded are filled less", "core/placement/packing.go", "		p.share = max(p.share-packStep, packLeast)\n", "", placementPkg, "TestServersAreFilledLess"},
