Bound what callers make an entry hold, and how long

Callers that stop to read, or to send their bodies, held their requests, their answers and connections to servers for as long as they liked: nothing bounded a write to a caller, nor the reading of a body. And bodies of open requests together were not bounded: each may have 4 MB, a small host has 184 MB in all.

Change: the body has to come and the answer to go out within the request's time (408 as not run, and a broken connection); a caller's connection takes no more than its own buffers meanwhile, so that the pressure reaches the server. The bodies of open requests may take 0.35 of the process's memory; what does not fit is refused at once, as not run.

Each test is red with its safeguard removed (proof/mutations), green with it; 500 callers and 200 prompts on a host of 184 MB as a real process were not played.

--- a/entry/gateway/front.go
+++ b/entry/gateway/front.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,6 +24,7 @@
 	CodeBodyTooLarge    execution.Code = "body_too_large"
 	CodeBadBody         execution.Code = "bad_body"
 	CodeTimeout         execution.Code = "route_timeout"
+	CodeBodiesFull      execution.Code = "bodies_full"
 )
 
 // exchange is one caller's request on its way.
@@ -40,6 +41,7 @@
 	workspace string
 	priority  int
 	body      []byte
+	held      heldBody
 	deadline  time.Time
 	core      *execution.Forward
 	// draw divides requests between services, and breaks ties.
@@ -72,7 +74,8 @@
 // serveCaller takes one request from a caller to its final answer.
 func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	e := &exchange{s: s, w: w, r: r, info: platform.ParseRequest(r.Header), arrived: now}
+	e := &exchange{s: s, w: w, r: r, info: platform.ParseRequest(r.Header), arrived: now, held: heldBody{bytes: &s.bodies}}
+	defer e.held.release()
 	s.counters.requests.Inc(1)
 	s.manager.Join()
 	defer s.manager.End()
@@ -125,21 +128,19 @@
 	return true
 }
 
-// endReading ends the reading of the request's body with an error.
-func (e *exchange) endReading() {
-	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
-		e.s.log.WithError(err).WithField("request", e.info.ID).Warn("the reading of a body could not be ended")
-	}
-}
-
 func (e *exchange) readBody() bool {
 	limit := e.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if e.r.ContentLength > limit {
+		e.refuseTooLarge()
+		return false
+	}
+	e.limitTimes()
 	// The limit of this entry's stop ends the wait for a body as well.
-	release := context.AfterFunc(e.s.manager.Ending(), func() { e.endReading() })
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	release := context.AfterFunc(e.s.manager.Ending(), func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })
+	body, err := e.held.read(http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength)
 	release()
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -147,12 +148,26 @@
 		e.refuse(http.StatusServiceUnavailable, e.stopRefusal())
 		return false
 	case errors.As(err, &tooLarge):
-		e.refuse(http.StatusRequestEntityTooLarge, execution.Refusal{Code: CodeBodyTooLarge, Detail: "the body is larger than the configuration allows"})
+		e.refuseTooLarge()
+		return false
+	case errors.Is(err, errBodiesFull):
+		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeBodiesFull, Detail: err.Error(), RetryAfter: bodiesReturn})
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.refuse(http.StatusRequestTimeout, execution.Refusal{Code: CodeTimeout, Detail: "the body did not come within the request's time"})
 		return false
 	case err != nil:
 		e.refuse(http.StatusBadRequest, execution.Refusal{Code: CodeBadBody, Detail: err.Error()})
 		return false
 	}
+	e.bodyIsRead()
 	e.body = body
 	return true
 }
+
+func (e *exchange) refuseTooLarge() {
+	e.refuse(http.StatusRequestEntityTooLarge, execution.Refusal{Code: CodeBodyTooLarge, Detail: "the body is larger than the configuration allows"})
+}
+
+// bodiesReturn is when a caller comes back whose body finds no room: some answers' time.
+const bodiesReturn = time.Second
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -63,9 +63,11 @@
 	// readOptions say how this entry takes part in reading the store.
 	readOptions atomic.Pointer[peering.ReadOptions]
 	connections connections
-	open        openSet[*exchange]
-	peers       *peerExchange
-	tomb        *tomb.Tomb
+	// bodies are those of open requests.
+	bodies heldBytes
+	open   openSet[*exchange]
+	peers  *peerExchange
+	tomb   *tomb.Tomb
 	// loaded is the settings as last read; only the settings loop uses it.
 	loaded Settings
 	// refused are the requests that were refused at the last tick; only the tick uses it.
@@ -199,6 +201,7 @@
 
 func (s *Server) applyRuntime(settings Settings) {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
+	s.bodies.limitTo(int64(float64(settings.MemoryMB<<20) * bodyShare))
 	runtime.GOMAXPROCS(settings.Processors)
 }
 
--- a/proof/days/main.go
+++ b/proof/days/main.go
@@ -94,6 +94,18 @@
 	{"busy-small-hosts", []string{`{ at = 4.0, kind = "big_config", count = 1000 }`, `{ at = 10.0, kind = "config_storm", for_s = 4.0, gap_s = 0.3 }`, `{ at = 17.0, kind = "hup", share = 1.0, gap_s = 1.0 }`},
 		[]string{`{ at = 3.0, kind = "lossy", x = 0.08, for_s = 8.0 }`, `{ at = 9.0, kind = "burst", class = "@c0", x = 2.5, for_s = 6.0 }`, `{ at = 16.0, kind = "node_slow", share = 0.4, x = 4.0, for_s = 6.0 }`,
 			`{ at = 22.0, kind = "retry_abuse", x = 4.0, share = 0.5, for_s = 6.0 }`}},
+	{"zone-evacuated-beside-stops", []string{`{ at = 3.0, kind = "evacuate", zone = "@z0", for_s = 8.0 }`, `{ at = 2.5, kind = "roll_term", share = 0.6, gap_s = 1.0, how = "busy" }`,
+		`{ at = 18.0, kind = "evacuate", for_s = 5.0, how = "warm" }`, `{ at = 19.0, kind = "config_storm", for_s = 3.0, gap_s = 0.3 }`},
+		[]string{`{ at = 5.0, kind = "burst", class = "@c0", x = 2.0, for_s = 8.0 }`, `{ at = 19.0, kind = "node_kill", on = "core", count = 3, how = "reader" }`}},
+	{"zone-evacuated-beside-a-store-away", []string{`{ at = 4.0, kind = "evacuate", zone = "@z0", for_s = 9.0 }`, `{ at = 21.0, kind = "evacuate", for_s = 4.0 }`},
+		[]string{`{ at = 1.0, kind = "platform_down", how = "nodes many", share = 0.35, for_s = 8.0 }`, `{ at = 12.0, kind = "platform_down", how = "silent", for_s = 4.0 }`,
+			`{ at = 20.0, kind = "core_cut", count = 4, for_s = 4.0, how = "reader" }`, `{ at = 27.0, kind = "platform_slow", x = 60.0, for_s = 4.0 }`}},
+	{"zones-evacuated-in-a-row", []string{`{ at = 2.0, kind = "evacuate", zone = "@z0", for_s = 4.0 }`, `{ at = 7.0, kind = "evacuate", zone = "@z0", for_s = 4.0 }`,
+		`{ at = 14.0, kind = "evacuate", zone = "@z0", for_s = 9.0, how = "warm" }`, `{ at = 15.0, kind = "evacuate", for_s = 7.0 }`, `{ at = 16.0, kind = "evacuate", for_s = 5.0 }`},
+		[]string{`{ at = 6.0, kind = "herd_kill", share = 0.8 }`, `{ at = 22.0, kind = "node_freeze", share = 0.3, for_s = 3.0 }`}},
+	{"cold-beside-a-burst", []string{`{ at = 3.0, kind = "evacuate", zone = "@z0", for_s = 5.0 }`},
+		[]string{`{ at = 7.0, kind = "burst", class = "@c0", x = 2.5, for_s = 8.0 }`, `{ at = 15.0, kind = "cold_return", for_s = 3.0 }`, `{ at = 17.0, kind = "burst", x = 2.0, for_s = 6.0 }`,
+			`{ at = 17.5, kind = "herd_kill", share = 1.0 }`, `{ at = 24.0, kind = "cold_return", zone = "@z0", for_s = 2.0, how = "dark" }`, `{ at = 26.0, kind = "node_cut", share = 0.4, for_s = 4.0 }`}},
 }
 
 func (d day) text() string {
--- a/proof/mutations/evacuation_mutations_test.go
+++ b/proof/mutations/evacuation_mutations_test.go
@@ -20,3 +20,11 @@
 	{"cold servers are known by their rows", "entry/gateway/cold.go", "		if server.SlowFor > 0 {", "		if false {", gatewayPkg, "TestAColdServer"},
 	{"a choice counts for a cold server", "entry/gateway/cold.go", "		s.cold.Sent(now, choice.Server.Start())\n", "", gatewayPkg, "TestAColdServer"},
 }
+
+// memoryMutations remove the bounds on what callers make an entry hold.
+var memoryMutations = []mutation{
+	{"a caller that does not read is ended", "entry/gateway/held.go", "	e.setDeadline((*http.ResponseController).SetWriteDeadline, e.deadline.Add(answerSlack))\n", "", gatewayPkg, "TestACallerThatDoesNotRead"},
+	{"a caller that sends slowly is ended", "entry/gateway/held.go", "	e.setDeadline((*http.ResponseController).SetReadDeadline, e.deadline)\n", "", gatewayPkg, "TestACallerThatSendsItsBodySlowly"},
+	{"bodies together are bounded", "entry/gateway/held.go", "	if h.held+count > h.limit {\n", "	if false {\n", gatewayPkg, "TestEnormousPromptsTogether"},
+	{"the room of a body comes back", "entry/gateway/front.go", "	defer e.held.release()\n", "", gatewayPkg, "TestEnormousPromptsTogether"},
+}
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -139,7 +139,7 @@
 	{"a bad configuration is refused", "entry/gateway/platformloop.go", "	if err != nil {\n		s.log.WithError(err).WithFields(logrus.Fields{\"version\": definition.Version, \"source\": source}).Error(\"configuration refused; the last good one stays in force\")\n", "	if err != nil && table == nil {\n		table, _ = routes.NewTable(routes.Definition{Version: definition.Version})\n	} else if err != nil {\n", gatewayPkg, "TestARefusedConfiguration"},
 	{"without a configuration nothing is denied", "entry/gateway/front.go", "	if e.table == nil {\n		e.refuse(http.StatusServiceUnavailable", "	if e.table == nil {\n		e.refuse(http.StatusNotFound", gatewayPkg, "TestWithoutAConfiguration"},
 	{"the limit of a stop is answered", "entry/gateway/run.go", "func() { stop(errStopLimit) })", "func() {})", gatewayPkg, "TestAtTheLimitOfAStopCallers"},
-	{"the limit of a stop ends the wait for a body", "entry/gateway/front.go", "func() { e.endReading() })", "func() {})", gatewayPkg, "TestAtTheLimitOfAStopNoBody"},
+	{"the limit of a stop ends the wait for a body", "entry/gateway/front.go", "func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })", "func() {})", gatewayPkg, "TestAtTheLimitOfAStopNoBody"},
 	{"a stop leaves time for answers", "core/lifecycle/manager.go", "	m.awaitAnswers()\n", "", "arbutusdeck/core/lifecycle", "TestTheLimitOfAStop"},
 	{"the last bytes are written before the exit", "core/process/run.go", "server.Shutdown(ctx)", "ctx.Err()", "arbutusdeck/core/process", "TestTheLastAnswer"},
 	{"no answer outlasts the entry", "core/placement/choose.go", "refusal == \"\" && outlasts(best, q)", "false", placementPkg, "TestAnAnswerThatMayOutlast"},
--- a/proof/mutations/mutations_test.go
+++ b/proof/mutations/mutations_test.go
@@ -102,7 +102,9 @@
 }
 
 // all are the mutations of all tables.
-func all() []mutation { return slices.Concat(mutations, forwardingMutations, quarantineMutations, evacuationMutations) }
+func all() []mutation {
+	return slices.Concat(mutations, forwardingMutations, quarantineMutations, evacuationMutations, memoryMutations)
+}
 
 func (m mutation) change() removal.Change {
 	return removal.Change{File: m.file, Old: m.old, New: m.new}
