Let a small part of the shared retry budget suffice for a retry

Cause: what holds only while the fleet is small. Each entry may save half of its part of the shared extra: 0.7 x 1,040 / 424 / 2 = 0.86 of a retry. A retry takes a whole one, so none was ever made, also not from the ratio, which fills the same bucket.

Change: one retry may be saved, and what then comes back is the rest of the part; all parts together stay within the budget as long as there are no more entries than the shared extra (2.4 to 4.9 an entry on all deployments, 68 entries or 424). An entry divides by the entries that it knows by now, not by those at its first retry.

Before, the new tests are red; after, green, with 1 to 700 entries that all spend what they can.

--- a/core/execution/budget.go
+++ b/core/execution/budget.go
@@ -22,13 +22,42 @@
 	// refill is in tokens a second.
 	refill   float64
 	refilled time.Time
+	// shared is what the budget is a part of; nil if it is none.
+	shared *sharedExtra
 }
 
-// NewRefilledRetryBudget returns a budget that also gains refill tokens a second.
-// In a window of w seconds it lets burst + w*refill + ratio*requests retries
-// through at the most.
-func NewRefilledRetryBudget(ratio, burst, refill float64) *RetryBudget {
-	return &RetryBudget{tokens: burst, ratio: ratio, burst: burst, refill: refill}
+// sharedExtra is how many retries all sharers together may make in any window, beyond a ratio of the requests.
+type sharedExtra struct {
+	extra  float64
+	window time.Duration
+}
+
+// leastBurst is what a part of a shared budget may save: a retry takes a whole token.
+const leastBurst = 1
+
+// NewSharedRetryBudget returns a part of a budget that sharers spend without a word to each other. In any window all
+// parts together let extra + ratio*requests retries through, as long as there are no more sharers than extra: a part is
+// then at least one retry in a window. Where there are more, each of them may still save one.
+func NewSharedRetryBudget(ratio, extra float64, window time.Duration, sharers int) *RetryBudget {
+	b := &RetryBudget{ratio: ratio, shared: &sharedExtra{extra, window}}
+	b.divide(sharers)
+	b.tokens = min(b.burst, extra/float64(sharers))
+	return b
+}
+
+// Share sets how many sharers a shared budget is divided among.
+func (b *RetryBudget) Share(sharers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.divide(sharers)
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// divide lets half of the part be saved, and at least one retry; the rest comes back over a window. The lock is held.
+func (b *RetryBudget) divide(sharers int) {
+	part := b.shared.extra / float64(max(sharers, 1))
+	b.burst = max(part/2, leastBurst)
+	b.refill = max(part-b.burst, 0) / b.shared.window.Seconds()
 }
 
 // NewRetryBudget returns a full budget. Each first attempt adds ratio tokens,
--- a/core/execution/forward_test.go
+++ b/core/execution/forward_test.go
@@ -127,7 +127,7 @@
 }
 
 func TestTheRefilledBudgetBoundsAWindow(t *testing.T) {
-	b := NewRefilledRetryBudget(0, 5, 0.5)
+	b := NewSharedRetryBudget(0, 10, 10*time.Second, 1)
 	taken := 0
 	for ms := range 10_000 {
 		if b.Take(forwardStart.Add(time.Duration(ms) * time.Millisecond)) {
@@ -137,3 +137,44 @@
 	require.GreaterOrEqual(t, taken, 9)
 	require.LessOrEqual(t, taken, 10, "the burst and ten seconds of refill")
 }
+
+// Hundreds of entries share a budget, and each one's part of what may be spent at once was less than one retry: none of
+// them ever made any. Callers got servers' own failures, and waited for servers that had gone dark, with the budget unspent.
+func TestASmallPartOfABudgetSufficesForARetry(t *testing.T) {
+	const extra, window = 728, 10 * time.Second
+	for _, sharers := range []int{1, 100, 424, 700} {
+		spent, parts := 0, make([]*RetryBudget, sharers)
+		for i := range parts {
+			parts[i] = NewSharedRetryBudget(0.14, extra, window, sharers)
+			require.True(t, parts[i].Take(forwardStart), "%d sharers", sharers)
+			spent++
+		}
+		for ms := 1; ms < int(window.Milliseconds()); ms += 10 {
+			for _, part := range parts {
+				if part.Take(forwardStart.Add(time.Duration(ms) * time.Millisecond)) {
+					spent++
+				}
+			}
+		}
+		require.LessOrEqual(t, spent, extra, "%d sharers", sharers)
+		require.GreaterOrEqual(t, spent, extra/2, "%d sharers", sharers)
+	}
+}
+
+// An entry that has just started knows few others, and takes more of the shared budget than is its part. It gives it up
+// when it hears of them.
+func TestAPartShrinksWithTheSharersThatBecomeKnown(t *testing.T) {
+	b := NewSharedRetryBudget(0, 100, 10*time.Second, 1)
+	b.Share(50)
+	taken := 0
+	for b.Take(forwardStart) {
+		taken++
+	}
+	require.Equal(t, 1, taken)
+	for ms := range 11_000 {
+		if b.Take(forwardStart.Add(time.Duration(ms) * time.Millisecond)) {
+			taken++
+		}
+	}
+	require.Equal(t, 2, taken)
+}
--- a/entry/gateway/entries_test.go
+++ b/entry/gateway/entries_test.go
@@ -224,3 +224,21 @@
 	require.True(t, heard(neighbour, patience))
 	require.False(t, heard(far, 50*time.Millisecond), "entries of other zones hear by turns")
 }
+
+// An entry begins to serve before it has heard of most others, and would spend many times its part of the retries that
+// all of them share.
+func TestABudgetIsDividedAmongThoseThatBecomeKnown(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	require.True(t, s.takeRetry(time.Now(), "plain"))
+	var others []string
+	for i := range 200 {
+		others = append(others, fmt.Sprintf("127.0.0.1:%d", 20_000+i))
+	}
+	s.peers.take(time.Now(), peering.Message{From: others[0], Zone: "here", Members: []peering.ZoneMembers{{Zone: "here", Addresses: others}}})
+	time.Sleep(2 * tickInterval)
+	require.True(t, s.takeRetry(time.Now(), "plain"))
+	require.False(t, s.takeRetry(time.Now(), "plain"), "a part of 0.35 in ten seconds, and one that is saved")
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -199,13 +199,21 @@
 func (s *Server) budget(service string) *execution.RetryBudget {
 	budget := s.budgets[service]
 	if budget == nil {
-		part := s.settings.RetryExtra * retryExtraShare / float64(s.peers.size()) / 2
-		budget = execution.NewRefilledRetryBudget(s.settings.RetryRatio*retryRatioShare, part, part/s.settings.RetryWindow.D().Seconds())
+		budget = execution.NewSharedRetryBudget(s.settings.RetryRatio*retryRatioShare, s.settings.RetryExtra*retryExtraShare,
+			s.settings.RetryWindow.D(), s.peers.size())
 		s.budgets[service] = budget
 	}
 	return budget
 }
 
+// shareBudgets divides the shared budgets among the entries that are known by now; the caller holds the lock.
+func (s *Server) shareBudgets() {
+	size := s.peers.size()
+	for _, budget := range s.budgets {
+		budget.Share(size)
+	}
+}
+
 const (
 	// retryExtraShare and retryRatioShare keep a part of the shared budget for
 	// entries that this one has not heard of and for the edges of the window.
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -279,6 +279,7 @@
 		s.mu.Lock()
 		s.book.Expire(now)
 		s.cold.Expire(now)
+		s.shareBudgets()
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
 		s.noteServers(changes, "platform")
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -40,6 +40,8 @@
 	{"a row that stays missing is gone", "core/directory/directory.go", "now.Sub(known.missingSince) < d.options.ReturnGrace", "true", directoryPkg, "TestMissingRows"},
 	{"the longest prefix goes first", "core/routes/table.go", "return len(b.Prefix) - len(a.Prefix)", "return 0", routesPkg, "TestTheLongest"},
 	{"a restarted entry is noticed", "core/peering/group.go", "known.incarnation != \"\" && known.incarnation != m.Incarnation", "false", peeringPkg, "TestANewStart"},
+	{"a small part of the budget suffices for a retry", "core/execution/budget.go", "max(part/2, leastBurst)", "part/2", execution, "TestASmallPart"},
+	{"a part of the budget shrinks", "entry/gateway/server.go", "		s.shareBudgets()\n", "", gatewayPkg, "TestABudgetIsDivided"},
 	{"unheard entries keep their part of the budget", "core/peering/group.go", "return g.most + 1", "return len(g.members) + 1", peeringPkg, "TestTheSize"},
 	{"news stay within a zone", "core/peering/group.go", "return !g.divided || m.zone == \"\" || m.zone == g.zone", "return true", peeringPkg, "TestNewsStay"},
 	{"a dead entry is not kept alive by word", "core/peering/group.go", "m.isHeard(now) || m.zone != g.zone && m.runs(now)", "m.runs(now)", peeringPkg, "TestADeadEntryIsNotKept"},
