--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -283,11 +283,13 @@
 	return d.byZone[zoneOf{service, zone}]
 }
 
-// Zones returns how many servers of a service take new work in each zone.
+// Zones returns how many servers of a service each zone has, those of evacuated zones and without those that leave.
 func (d *Directory) Zones(service string) map[string]int {
 	zones := map[string]int{}
-	for _, server := range d.Available(service) {
-		zones[server.Zone]++
+	for _, known := range d.entries {
+		if known.Service == service && !known.Leaving {
+			zones[known.Zone]++
+		}
 	}
 	return zones
 }
--- a/core/peering/beats.go
+++ b/core/peering/beats.go
@@ -1,42 +1,80 @@
 package peering
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
-// listsPerHeartbeat is how many near entries a heartbeat tells of all others. One that is
-// heard for the first time is told at once, so that a start needs no turn; the turns mend
-// what was lost. With 28 entries two lists in place of 27 save 24 KB a second and entry.
+// listsPerHeartbeat is how many near entries a heartbeat tells of all others, of those that hear others than this one does.
 const listsPerHeartbeat = 2
 
 // Heartbeat is who is told that this entry lives.
 type Heartbeat struct {
-	// Lists are told of all running entries as well, Rest are not.
-	Lists, Rest []string
-	// Far are entries of other zones, one of each zone by turns. They are told of this
-	// entry's zone. Heartbeats to all of them would grow with the square of the entries:
-	// 68 entries in five zones sent each other 0.9 MB a second across zones.
+	// Near are the entries that this one tells of requests, Lists those of them that are told of all others as well.
+	Near, Lists []string
+	// Far are entries of other zones, one of each. They are told of this entry's zone.
 	Far []string
 }
 
 // Heartbeat picks who hears the heartbeat of a turn; turns are counted.
 func (g *Group) Heartbeat(now time.Time, turn int) Heartbeat {
 	var beat Heartbeat
-	near := g.pick(func(m *member) bool { return g.isNear(m) })
-	for i, address := range near {
-		if (i+turn*listsPerHeartbeat)%max(len(near), 1) < listsPerHeartbeat {
+	sum := g.Sum(now)
+	beat.Near = g.NearKnown()
+	for i := range beat.Near {
+		// Another one begins at each turn.
+		address := beat.Near[(i+turn*listsPerHeartbeat)%len(beat.Near)]
+		if len(beat.Lists) < listsPerHeartbeat && g.members[address].sum != sum {
 			beat.Lists = append(beat.Lists, address)
-		} else {
-			beat.Rest = append(beat.Rest, address)
 		}
 	}
-	for _, zone := range g.FarZones() {
-		beat.Far = append(beat.Far, g.oneOf(now, zone, turn))
+	if g.isDelegate(now) {
+		beat.Far = g.farTargets(now, turn)
 	}
 	return beat
 }
 
+// Listed returns the entries that a near one is told of by turns: those that this one tells of each request, itself among
+// them.
+func (g *Group) Listed(now time.Time) []ZoneMembers {
+	zones := map[string][]string{g.zone: {g.self}}
+	for _, address := range g.Near(now) {
+		if m := g.members[address]; m.zone != "" {
+			zones[m.zone] = append(zones[m.zone], address)
+		}
+	}
+	return byZone(zones)
+}
+
+// Sum stands for the entries that Listed returns; it is not 0. Heartbeats tell it, and entries whose sums are the same
+// tell each other no lists: what they cost does not grow with the fleet once all know all.
+func (g *Group) Sum(now time.Time) uint32 {
+	sum := rank(g.self, "")
+	for _, m := range g.members {
+		if g.isNear(m) && m.zone != "" && m.isHeard(now) {
+			sum += m.hash()
+		}
+	}
+	return max(uint32(sum^sum>>32), 1)
+}
+
+// hash is that of the address; it is made once.
+func (m *member) hash() uint64 {
+	if m.hashed == 0 {
+		m.hashed = rank(m.address, "")
+	}
+	return m.hashed
+}
+
+func byZone(zones map[string][]string) []ZoneMembers {
+	told := make([]ZoneMembers, 0, len(zones))
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		told = append(told, ZoneMembers{Zone: zone, Addresses: zones[zone]})
+	}
+	return told
+}
+
 // maxMembers bounds the addresses of a message so that it stays within one packet of a usual
 // link (1,500 bytes); an address takes some 16 bytes.
 const maxMembers = 60
@@ -58,40 +96,3 @@
 	}
 	return parts
 }
-
-// FarZones returns the zones of the members that are not near, in a fixed order.
-func (g *Group) FarZones() []string {
-	var zones []string
-	for _, m := range g.members {
-		if !g.isNear(m) && !slices.Contains(zones, m.zone) {
-			zones = append(zones, m.zone)
-		}
-	}
-	slices.Sort(zones)
-	return zones
-}
-
-// oneOf picks a member of another zone by turns, one that runs if any does. Entries begin
-// at different members, so that each member hears of every other zone at each turn.
-func (g *Group) oneOf(now time.Time, zone string, turn int) string {
-	members := g.In(now, zone)
-	if len(members) == 0 {
-		members = g.pick(func(m *member) bool { return m.zone == zone })
-	}
-	return members[(turn+int(rank(g.self, zone)%uint64(len(members))))%len(members)]
-}
-
-// neighboursTold bounds the neighbours that a heartbeat to another zone tells of. They are
-// told by turns: whole lists of a zone of 100 entries were most of the bytes between zones.
-const neighboursTold = 16
-
-// Neighbours returns the running entries of this one's zone, this one included, as they
-// are told to other zones at a turn.
-func (g *Group) Neighbours(now time.Time, turn int) []ZoneMembers {
-	heard := g.pick(func(m *member) bool { return m.zone == g.zone && m.isHeard(now) })
-	addresses := []string{g.self}
-	for i := range min(len(heard), neighboursTold-1) {
-		addresses = append(addresses, heard[(turn*(neighboursTold-1)+i)%len(heard)])
-	}
-	return []ZoneMembers{{Zone: g.zone, Addresses: addresses}}
-}
--- a/core/peering/codec.go
+++ b/core/peering/codec.go
@@ -41,6 +41,14 @@
 			return fmt.Errorf("request %s: %w", m.Begun[i].ID, err)
 		}
 	}
+	if m.Entries < 0 || m.Entries > maxEntries {
+		return fmt.Errorf("%d entries in a zone: 0 to %d", m.Entries, maxEntries)
+	}
+	for _, summary := range m.Zones {
+		if err := summary.check(); err != nil {
+			return fmt.Errorf("zone %s: %w", summary.Zone, err)
+		}
+	}
 	if m.Ask != nil {
 		if err := m.Ask.Dispatch.Check(); err != nil {
 			return fmt.Errorf("a question for request %s: %w", m.Ask.Dispatch.ID, err)
@@ -54,3 +62,20 @@
 	}
 	return nil
 }
+
+// Bounds of what is told of a zone. A count that is far too high would leave no entry a part of shared budgets.
+const (
+	maxEntries = 10_000
+	// maxAge is in milliseconds.
+	maxAge = 60_000
+)
+
+func (z *ZoneSummary) check() error {
+	if z.Entries < 0 || z.Entries > maxEntries {
+		return fmt.Errorf("%d entries: 0 to %d", z.Entries, maxEntries)
+	}
+	if z.Age < 0 || z.Age > maxAge {
+		return fmt.Errorf("as of %d ms ago: 0 to %d", z.Age, maxAge)
+	}
+	return nil
+}
--- a/core/peering/codec_test.go
+++ b/core/peering/codec_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutusdeck/core/placement"
+	"arbutusdeck/core/quarantine"
 )
 
 func usualMessage() Message {
@@ -65,6 +66,9 @@
 		"negative tokens":       func(m *Message) { m.Begun[0].PromptTokens = -1 },
 		"too many tokens":       func(m *Message) { m.Begun[0].AnswerTokens = 1 << 40 },
 		"too long":              func(m *Message) { m.Begun[0].Life = 1 << 60 },
+		"too many entries":      func(m *Message) { m.Entries = maxEntries + 1 },
+		"less than none":        func(m *Message) { m.Zones = []ZoneSummary{{Entries: -1}} },
+		"from the future":       func(m *Message) { m.Zones = []ZoneSummary{{Age: -1}} },
 		"a question":            func(m *Message) { m.Ask = &Ask{Dispatch: placement.Dispatch{PromptTokens: -1}} },
 		"a place":               func(m *Message) { m.Place = &Place{Held: []int64{1, 2}} },
 	} {
@@ -76,3 +80,13 @@
 		require.ErrorContains(t, err, "a message of another entry", name)
 	}
 }
+
+func TestMessagesAreToldApart(t *testing.T) {
+	for kind, m := range map[Kind]Message{
+		KindUpdate: {Update: &Update{}}, KindPlace: {Place: &Place{}}, KindNews: {Ended: []string{"a"}}, KindFarHeartbeat: {Entries: 3, Members: []ZoneMembers{{}}},
+		KindHeartbeat: {Sum: 1, Asks: true}, KindList: {Members: []ZoneMembers{{}}}, KindQuestion: {Asks: true}, KindGreeting: {},
+		KindRecords: {Records: make([]quarantine.Record, 1)},
+	} {
+		require.Equal(t, kind, m.Kind())
+	}
+}
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -2,6 +2,17 @@
 // requests it has sent to backend servers and how far they are, and how new its
 // view of the configuration and of the servers is. It is pure; the daemon carries
 // the messages. Messages may be lost, doubled and reordered.
+//
+// What it costs an entry, by file:
+//
+//	group.go    who is known: one row an entry of the own zone, a few for each other zone
+//	join.go     an entry that starts asks one neighbour for its zone: the zone's entries, once
+//	beats.go    heartbeats and lists within the zone: the zone's entries, twice a second
+//	far.go      what zones tell each other: two entries of each zone do, whatever its size
+//	readers.go  who reads the platform's store: two of each zone
+//	start.go    who reads it first where all start at once: two of each zone, more with the time
+//	records.go  requests under which servers end: nothing while all know the same
+//	owners.go   servers while entries don't hear each other: entries times servers, while that lasts
 package peering
 
 import (
@@ -22,10 +33,6 @@
 	ForgetAfter = 40 * time.Second
 	// AliveAfter is how long an entry that is not heard of counts as running.
 	AliveAfter = 3 * time.Second
-	// VouchedFor is how long an entry of another zone counts as running after a neighbour of
-	// it has said so: they tell of a few neighbours at a time. Little hangs on it: news of a
-	// request that crosses zones go to an entry that may be gone.
-	VouchedFor = 15 * time.Second
 	// SilentAfter is after how long an entry that is not heard of is taken for cut
 	// off: two heartbeats were missed. It still serves its callers, unheard.
 	SilentAfter = 1200 * time.Millisecond
@@ -51,14 +58,28 @@
 	// serving is since when it is heard to take requests; zero while it does not.
 	serving  time.Time
 	capacity int
-	room     int // as in Message
 	store    StoreState
+	// sum is what it last told of whom it hears, as in Message.
+	sum uint32
+	// hashed is the hash of its address, 0 until it is made.
+	hashed uint64
 	// untold says that it has missed news and was not told of them yet.
 	untold bool
 	// recordsTold is when it was last told all records of requests.
 	recordsTold time.Time
 }
 
+// scope is among whose servers entries choose, and so whom they tell of requests.
+type scope uint8
+
+const (
+	// scopeUnknown: no servers are known yet. Entries of other zones are told nothing that they
+	// may not need.
+	scopeUnknown scope = iota
+	scopeZone          // those of the own zone
+	scopeWhole         // all
+)
+
 // Group is the entries as one of them knows them. It is not safe for concurrent
 // use.
 type Group struct {
@@ -69,16 +90,24 @@
 	members     map[string]*member
 	// order is the addresses of members in their order; nil after a change.
 	order []string
+	// far is what is known of other zones, as long as entries keep to theirs.
+	far map[string]*farZone
+	// most is how many others were known at once, grown that more are known since that was counted.
 	most  int
-	// divided says that entries keep to the servers of their own zone, and tell each other
-	// of requests only within it.
-	divided bool
+	grown bool
+	scope scope
+	// joined says that a neighbour has told the entries of the zone.
+	joined  bool
 	reading ReadOptions
+	// serves says that this entry takes requests.
+	serves bool
+	// heardFirst is when any entry was heard for the first time, foundAt when one of the own zone became known last.
+	heardFirst, foundAt time.Time
 }
 
 // New returns a group of an entry in an availability zone that knows the seeds.
 func New(self, zone, incarnation string, seeds []string) *Group {
-	g := &Group{self: self, zone: zone, incarnation: incarnation, members: map[string]*member{}}
+	g := &Group{self: self, zone: zone, incarnation: incarnation, members: map[string]*member{}, far: map[string]*farZone{}}
 	g.Seed(time.Time{}, seeds)
 	return g
 }
@@ -90,6 +119,7 @@
 	for _, address := range seeds {
 		g.add(now, address)
 	}
+	g.most = max(g.most, g.entries())
 }
 
 func (g *Group) add(now time.Time, address string) *member {
@@ -100,30 +130,41 @@
 	if m == nil {
 		m = &member{address: address, told: now}
 		g.members[address] = m
-		g.order = nil
-		g.most = max(g.most, len(g.members))
+		g.order, g.grown = nil, true
 	}
 	return m
 }
 
-// Divide sets whether entries keep to the servers of their own zone.
-func (g *Group) Divide(divided bool) { g.divided = divided }
+// Divide sets whether entries keep to the servers of their own zone. Until it is called for the
+// first time that is not known.
+func (g *Group) Divide(divided bool) {
+	g.scope = scopeWhole
+	if divided {
+		g.scope = scopeZone
+	}
+}
+
+// Serve sets whether this entry takes requests.
+func (g *Group) Serve(serves bool) { g.serves = serves }
 
 // Divided returns whether they do.
-func (g *Group) Divided() bool { return g.divided }
+func (g *Group) Divided() bool { return g.scope == scopeZone }
 
 // isNear says whether a member chooses among the same servers as this entry does. One
 // whose zone is not known may.
-func (g *Group) isNear(m *member) bool { return !g.divided || m.zone == "" || m.zone == g.zone }
+func (g *Group) isNear(m *member) bool {
+	return g.scope == scopeWhole || m.zone == "" || m.zone == g.zone
+}
 
 // Sender is what is known of the sender of a message.
 type Sender struct {
-	// Found are near entries that were not known before.
+	// Found are entries of this one's zone that were not known before.
 	Found []string
 	// Restarted: it is another start than the one known; what that had begun is over.
 	Restarted bool
-	// Joined: it is heard for the first time, or again after a silence.
-	Joined bool
+	// Joined: it is heard for the first time, or again after a silence. Near: it chooses among the same
+	// servers as this entry.
+	Joined, Near bool
 	// Missed, once: it joined and does not know what goes on here. For one that is
 	// starting this waits until it can book requests.
 	Missed bool
@@ -135,48 +176,67 @@
 	if known == nil {
 		return Sender{}
 	}
-	sender := Sender{Restarted: known.incarnation != "" && known.incarnation != m.Incarnation}
-	first := known.heard.IsZero()
 	known.zone = cmp.Or(m.Zone, known.zone)
+	sender := Sender{Restarted: known.incarnation != "" && known.incarnation != m.Incarnation, Near: g.isNear(known)}
+	first := known.heard.IsZero()
+	if g.heardFirst.IsZero() {
+		g.heardFirst = now
+	}
+	if first && known.zone == g.zone {
+		g.foundAt = now
+	}
 	// Entries of other zones are heard by turns only, and book nothing of this one's.
-	sender.Joined = first || sender.Restarted || g.isNear(known) && now.Sub(known.heard) >= SilentAfter
+	sender.Joined = first || sender.Restarted || sender.Near && now.Sub(known.heard) >= SilentAfter
 	known.untold = known.untold || sender.Joined
-	sender.Missed = known.untold && !m.Starting && g.isNear(known)
+	sender.Missed = known.untold && !m.Starting && sender.Near
 	if sender.Missed {
 		known.untold = false
 	}
 	if sender.Restarted {
 		known.recordsTold = time.Time{} // what the start before was told is lost
 	}
-	if m.Stopping && (!known.stopping || sender.Restarted) {
+	known.take(now, m, sender.Restarted)
+	changed := g.hearFar(now, m)
+	sender.Found = g.learn(now, m)
+	if changed || g.grown {
+		g.most, g.grown = max(g.most, g.entries()), false
+	}
+	return sender
+}
+
+// take notes what a member says of itself.
+func (known *member) take(now time.Time, m Message, restarted bool) {
+	if m.Stopping && (!known.stopping || restarted) {
 		known.stopped = now
 	}
 	switch {
 	case m.Starting || m.Stopping:
 		known.serving = time.Time{}
-	case known.serving.IsZero() || sender.Restarted:
+	case known.serving.IsZero() || restarted:
 		known.serving = now
 	}
 	known.incarnation, known.heard, known.stopping = m.Incarnation, now, m.Stopping
 	known.version, known.revision = m.Version, m.Revision
 	known.capacity, known.store = m.Capacity, m.store()
-	if m.Room > 0 {
-		known.room = m.Room
+	if m.Sum != 0 {
+		known.sum = m.Sum
 	}
-	sender.Found = g.learn(now, m)
-	return sender
 }
 
-// learn takes in the entries that a message tells of, and returns the near ones that were
-// not known.
+// learn takes in the entries that a message tells of, and returns those of the own zone that were
+// not known. Of another zone only a few are kept.
 func (g *Group) learn(now time.Time, m Message) []string {
 	var found []string
 	for _, address := range m.Known {
 		g.add(now, address)
 	}
 	for _, told := range m.Members {
+		g.joined = g.joined || told.Zone == g.zone && m.Zone == g.zone
 		for _, address := range told.Addresses {
 			isNew := g.members[address] == nil
+			if isNew && g.hasEnough(now, told.Zone) {
+				continue
+			}
 			known := g.add(now, address)
 			if known == nil {
 				continue
@@ -185,8 +245,9 @@
 			if told.Zone == m.Zone {
 				known.vouched = now
 			}
-			if isNew && g.isNear(known) {
+			if isNew && known.zone == g.zone {
 				found = append(found, address)
+				g.foundAt = now
 			}
 		}
 	}
@@ -251,8 +312,11 @@
 	return g.pick(func(m *member) bool { return g.isNear(m) && m.isHeard(now) })
 }
 
-// In returns the members of a zone that run, by their own word or by that of their
-// neighbours.
+// NearKnown returns the members that choose among the same servers as this entry, heard or not.
+func (g *Group) NearKnown() []string { return g.pick(g.isNear) }
+
+// In returns the members of a zone that are known to run, by their own word or by that of their
+// neighbours: all of the own zone, a few of another one.
 func (g *Group) In(now time.Time, zone string) []string {
 	return g.pick(func(m *member) bool { return m.zone == zone && m.runs(now) })
 }
@@ -265,28 +329,6 @@
 	return ""
 }
 
-// Running returns the members that run, and this one, by zone: what near entries are told.
-func (g *Group) Running(now time.Time) []ZoneMembers {
-	zones := map[string][]string{g.zone: {g.self}}
-	for _, address := range g.Addresses() {
-		if m := g.members[address]; g.mayTell(now, m) {
-			zones[m.zone] = append(zones[m.zone], address)
-		}
-	}
-	told := make([]ZoneMembers, 0, len(zones))
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		told = append(told, ZoneMembers{Zone: zone, Addresses: zones[zone]})
-	}
-	return told
-}
-
-// mayTell says whether others are told that a member runs. Of its own zone an entry tells
-// only what it hears itself: neighbours that believed each other's word would keep a dead
-// entry alive between them for ever.
-func (g *Group) mayTell(now time.Time, m *member) bool {
-	return m.isHeard(now) || m.zone != g.zone && m.runs(now)
-}
-
 func (m *member) isHeard(now time.Time) bool {
 	return !m.heard.IsZero() && now.Sub(m.heard) < AliveAfter
 }
@@ -312,6 +354,19 @@
 // the shared budgets.
 func (g *Group) Size() int { return g.most + 1 }
 
+// entries counts the other entries: those that are known, and those that another zone has told to
+// have if these are more.
+func (g *Group) entries() int {
+	count, known := len(g.members), map[string]int{}
+	for _, m := range g.members {
+		known[m.zone]++
+	}
+	for zone, far := range g.far {
+		count += max(far.entries-known[zone], 0)
+	}
+	return count
+}
+
 // Newer returns a live member that knows a higher configuration version than version or,
 // if servers is set, a higher revision of the servers: the newest, and of equal ones another
 // one for each entry that asks. As long as this zone knows what the store holds, only its
--- /dev/null
+++ b/core/peering/kind.go
@@ -0,0 +1,40 @@
+package peering
+
+// Kind is what a message is for. It is told from what the message holds, and serves for counting only.
+type Kind string
+
+// Kinds of messages.
+const (
+	KindHeartbeat    Kind = "heartbeat"
+	KindFarHeartbeat Kind = "farHeartbeat"
+	KindList         Kind = "list"
+	KindQuestion     Kind = "question"
+	KindGreeting     Kind = "greeting"
+	KindNews         Kind = "news"
+	KindUpdate       Kind = "update"
+	KindRecords      Kind = "records"
+	KindPlace        Kind = "place"
+)
+
+// Kind returns what the message is for.
+func (m *Message) Kind() Kind {
+	switch {
+	case m.Update != nil:
+		return KindUpdate
+	case m.Ask != nil, m.Place != nil:
+		return KindPlace
+	case len(m.Records) > 0:
+		return KindRecords
+	case m.HasNews():
+		return KindNews
+	case m.Entries > 0:
+		return KindFarHeartbeat
+	case m.Sum != 0:
+		return KindHeartbeat
+	case len(m.Members) > 0:
+		return KindList
+	case m.Asks:
+		return KindQuestion
+	}
+	return KindGreeting
+}
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -43,7 +43,7 @@
 	// Update is what has changed in the list of servers.
 	Update *Update `cbor:"16,keyasint,omitempty"`
 	// Room is the share, in hundredths plus one, of the servers of the sender's zone that
-	// could begin a short prompt at once; 0 if it isn't told.
+	// could begin a short prompt at once; 0 if it isn't told. It is told to other zones.
 	Room int `cbor:"17,keyasint,omitempty"`
 	// Ask and Place are a question to another zone and its answer.
 	Ask   *Ask   `cbor:"18,keyasint,omitempty"`
@@ -54,6 +54,30 @@
 	Records []quarantine.Record `cbor:"21,keyasint,omitempty"`
 	// RecordsSum is quarantine.Watch.Sum of the sender, plus one; 0 if it isn't told.
 	RecordsSum uint64 `cbor:"22,keyasint,omitempty"`
+	// Asks says that the sender wants to be told the entries of its zone.
+	Asks bool `cbor:"23,keyasint,omitempty"`
+	// Sum stands for the near entries that the sender hears; 0 if it isn't told.
+	Sum uint32 `cbor:"24,keyasint,omitempty"`
+	// Entries is how many entries run in the sender's zone, Delegates are those that speak for it. They
+	// are told to other zones, as Room is.
+	Entries   int      `cbor:"25,keyasint,omitempty"`
+	Delegates []string `cbor:"26,keyasint,omitempty"`
+	// Zones is what the sender hands on of other zones.
+	Zones []ZoneSummary `cbor:"27,keyasint,omitempty"`
+	// Relay asks an entry of another zone to pass the news on to the entries of its own.
+	Relay bool `cbor:"28,keyasint,omitempty"`
+}
+
+// ZoneSummary is what is known of a zone.
+type ZoneSummary struct {
+	Zone string `cbor:"1,keyasint,omitempty"`
+	// Entries and Room are as in Message, as of Age milliseconds ago.
+	Entries int   `cbor:"2,keyasint,omitempty"`
+	Room    int   `cbor:"3,keyasint,omitempty"`
+	Age     int64 `cbor:"4,keyasint,omitempty"`
+	// Delegates speak for the zone, Addresses are others that run there.
+	Delegates []string `cbor:"5,keyasint,omitempty"`
+	Addresses []string `cbor:"6,keyasint,omitempty"`
 }
 
 // SetRecordsSum tells the sum of the sender's records.
--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -91,16 +92,22 @@
 // readersRanked returns the entries of this zone that can read the store, this one among
 // them, the best suited first.
 func (g *Group) readersRanked(now time.Time) []string {
-	capacities := map[string]int{g.self: g.reading.Capacity}
+	return g.ranked(now, true, func(m *member) bool { return !m.serving.IsZero() && !m.store.Lost })
+}
+
+// ranked returns the entries of this zone that are heard and for which a condition holds, those with the fastest links
+// first; self adds this one.
+func (g *Group) ranked(now time.Time, self bool, holds func(*member) bool) []string {
+	capacities := map[string]int{}
+	if self {
+		capacities[g.self] = g.reading.Capacity
+	}
 	for address, m := range g.members {
-		if m.zone == g.zone && now.Sub(m.heard) < SilentAfter && !m.heard.IsZero() && !m.serving.IsZero() && !m.store.Lost {
+		if m.zone == g.zone && now.Sub(m.heard) < SilentAfter && !m.heard.IsZero() && holds(m) {
 			capacities[address] = m.capacity
 		}
 	}
-	ranked := make([]string, 0, len(capacities))
-	for address := range capacities {
-		ranked = append(ranked, address)
-	}
+	ranked := slices.Collect(maps.Keys(capacities))
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Or(cmp.Compare(capacities[b], capacities[a]), cmp.Compare(rank(a, g.zone), rank(b, g.zone)))
 	})
@@ -130,20 +137,33 @@
 	return g.reading.Shares() && g.Staleness(now) <= g.reading.staleAfter()
 }
 
-// FreshReader returns an entry of this zone that reads the store and is up to date.
+// FreshReader returns an entry of this zone that knows what a reader of the store knows that is up to date. Entries that
+// start together thus take over the list from each other: from two readers first, then from all that have it.
 func (g *Group) FreshReader(now time.Time) (string, bool) {
 	if !g.reading.Shares() {
 		return "", false
 	}
-	fresh := g.pick(func(m *member) bool {
-		return m.zone == g.zone && m.isHeard(now) && m.store.Reads && !m.serving.IsZero() && m.staleness(now) <= g.reading.staleAfter()
-	})
+	version, revision, found := uint64(0), uint64(0), false
+	for _, m := range g.members {
+		if m.store.Reads && g.hasList(now, m) {
+			version, revision, found = max(version, m.version), max(revision, m.revision), true
+		}
+	}
+	if !found {
+		return "", false
+	}
+	fresh := g.pick(func(m *member) bool { return g.hasList(now, m) && m.version >= version && m.revision >= revision })
 	if len(fresh) == 0 {
 		return "", false
 	}
 	return fresh[int(rank(g.self, g.incarnation)%uint64(len(fresh)))], true
 }
 
+// hasList says whether a neighbour can hand on a list of servers, and does not know itself that it is old.
+func (g *Group) hasList(now time.Time, m *member) bool {
+	return m.zone == g.zone && m.isHeard(now) && !m.serving.IsZero() && (!m.store.Reads || m.staleness(now) <= g.reading.staleAfter())
+}
+
 // Awoke forgets when others were heard: this process was suspended, and its clock stood
 // still meanwhile. What they knew then counts as fresh no more.
 func (g *Group) Awoke() {
--- /dev/null
+++ b/core/peering/start.go
@@ -0,0 +1,52 @@
+package peering
+
+import (
+	"slices"
+	"time"
+)
+
+// The first reading. Where all entries start at once none is up to date, and each would read the whole list from the
+// store. The first ones of each zone by rank read it, and the others take it over from these. If they don't hear of
+// anybody who is up to date, ever more of them read: twice as many after each further turn, so that a store that turns
+// most of them away, or readers that die, delay a zone by a few turns whatever its size.
+
+const (
+	// startWait is how long a starting entry waits to hear an entry that is up to date before any reads the store: some ten
+	// ways there and back between zones, and the time that a small host takes to answer.
+	startWait = 50 * time.Millisecond
+	// aloneWait is how long an entry that hears only others of other zones waits for those of its own.
+	aloneWait = 150 * time.Millisecond
+	// AskAgain is how often an entry that starts asks the seeds as long as it hears nobody: they may start as well.
+	AskAgain = 50 * time.Millisecond
+	// quietTime is for how long no further entry of the zone has to become known until the ranks are believed: while a zone
+	// starts each entry knows those only that have started before it.
+	quietTime = 30 * time.Millisecond
+	// quietLimit bounds the wait for that.
+	quietLimit = 500 * time.Millisecond
+	// readTurn is the time in which entries that read the store are up to date and heard, also on small hosts.
+	readTurn = 250 * time.Millisecond
+)
+
+// FirstRead says whether an entry that has started a while ago, and hears nobody who is up to date, reads the store
+// itself.
+func (g *Group) FirstRead(now time.Time, since time.Duration) bool {
+	if !g.reading.Shares() {
+		return true
+	}
+	ranked := g.ranked(now, true, func(m *member) bool { return !m.stopping && !m.store.Lost })
+	quiet := now.Sub(g.foundAt) - quietTime
+	switch {
+	case g.Lonely():
+		quiet = -1
+	case len(ranked) == 1:
+		quiet = now.Sub(g.heardFirst) - aloneWait
+	}
+	waited := max(min(quiet, since-startWait), since-quietLimit)
+	return waited >= 0 && slices.Index(ranked, g.self) < readersPerZone<<min(waited/readTurn, maxTurns)
+}
+
+// Lonely says whether this entry has heard nobody yet.
+func (g *Group) Lonely() bool { return g.heardFirst.IsZero() }
+
+// maxTurns is more than any zone takes until all its entries read.
+const maxTurns = 16
--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -100,13 +100,15 @@
 	places places
 	// endings are the requests under which servers ended.
 	endings endings
+	traffic traffic
+	spread  spread
 }
 
 // New returns an empty account.
 func New() *Account {
 	return &Account{All: newTally(), ByRoute: map[string]*Tally{}, ByLength: map[Length]*Tally{}, Spans: map[int]*Span{}, Step: time.Second,
 		ByLink: map[float64]*Tally{}, ByLacked: map[int]*Tally{}, open: map[string]*history{}, under: map[Length]int{},
-		links: map[string]float64{}, places: places{}, endings: endings{}}
+		links: map[string]float64{}, places: places{}, endings: endings{}, traffic: newTraffic(), spread: newSpread()}
 }
 
 // Length is a class of prompts: those of up to 1,000 tokens times two to its power; -1
@@ -170,12 +172,18 @@
 }
 
 func (a *Account) take(line *Line) error {
+	if err := a.spread.take(line); err != nil {
+		return err
+	}
 	switch line.Message {
 	case messageStarted:
 		a.links[line.Entry] = line.LinkMbps
+		a.traffic.started(line.Entry)
 		return a.closeEntry(line.Entry)
 	case messageChosen:
 		a.chosen(line)
+	case messageExchange:
+		a.traffic.told(line)
 	case messageTried:
 		a.endings.tried(line)
 	case messageEnded:
--- a/entry/account/lines.go
+++ b/entry/account/lines.go
@@ -47,6 +47,28 @@
 	Fingerprint string   `json:"fingerprint"`
 	ServerEnded bool     `json:"serverEnded"`
 	AnswerMs    *float64 `json:"answerMs"`
+	// Exchanged and StoreCalls are what an entry has counted since its start.
+	Exchanged  Exchanged        `json:"exchanged"`
+	StoreCalls map[string]int64 `json:"storeCalls"`
+	// To is the new state of the entry, a server or a zone, Version that of a configuration, Revision
+	// that of the store.
+	To       Word   `json:"to"`
+	Zone     string `json:"zone"`
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+}
+
+// Word is a field that some lines give a word and others a list, which counts as none.
+type Word string
+
+// UnmarshalJSON reads a word.
+func (w *Word) UnmarshalJSON(data []byte) error {
+	var word string
+	if err := json.Unmarshal(data, &word); err != nil {
+		word = ""
+	}
+	*w = Word(word)
+	return nil
 }
 
 // Messages that the account reads; all others are passed over.
@@ -55,8 +77,17 @@
 	messageChosen  = "server chosen"
 	messageTried   = "try ended"
 	messageEnded   = "request ended"
+
+	messageExchange      = "exchange so far"
+	messageState         = "state changed"
+	messageConfiguration = "configuration in force"
+	messageServer        = "server changed"
+	messageZone          = "availability zone changed"
 )
 
+// stateServing is an entry's state in which it takes requests.
+const stateServing = "serving"
+
 // BadLine is a line that can't be read as a log line.
 type BadLine struct {
 	File  string
--- /dev/null
+++ b/entry/account/traffic_test.go
@@ -0,0 +1,51 @@
+package account
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// line is one log line of an entry.
+func line(ms int, entry, message, fields string) string {
+	return fmt.Sprintf(`{"msg":%q,"time":%q,"name":%q,%s}`+"\n", message, stamp(ms), entry, fields)
+}
+
+// An entry tells what it has exchanged since its start, again and again, and is restarted in between: what it had counted
+// before is neither lost nor counted twice.
+func TestTheExchangeOfAllStartsIsSummed(t *testing.T) {
+	told := func(messages, bytes, calls int) string {
+		return fmt.Sprintf(`"exchanged":{"sent.far":{"heartbeat":[%d,%d]}},"storeCalls":{"watch":%d}`, messages, bytes, calls)
+	}
+	a, _ := read(t,
+		line(0, "e1", messageStarted, `"linkMbps":20`)+line(10, "e1", messageExchange, told(1, 100, 1))+line(20, "e1", messageExchange, told(3, 300, 2))+
+			line(30, "e1", messageStarted, `"linkMbps":20`)+line(40, "e1", messageExchange, told(2, 200, 1)),
+		line(15, "e2", messageExchange, told(10, 1000, 5)))
+	rows, calls := a.Traffic()
+	require.Equal(t, []TrafficRow{{Way: "sent.far", Kind: "heartbeat", Messages: 15, Bytes: 1500, MostBytes: 1000, MostEntry: "e2"}}, rows)
+	require.Equal(t, map[string]int64{"watch": 8}, calls)
+	var out bytes.Buffer
+	require.NoError(t, a.WriteTraffic(&out))
+	require.Contains(t, out.String(), "sent.far")
+}
+
+// A change is told by the lines of all entries that learn of it; what one learns as it starts is no news.
+func TestTheSpreadOfAChangeCountsFromTheFirstEntry(t *testing.T) {
+	serves := func(entry string) string { return line(0, entry, messageState, `"to":"serving"`) }
+	change := `"server":"i-1","to":"leaving","revision":7`
+	a, bad := read(t,
+		serves("e1")+line(100, "e1", messageServer, change)+line(5000, "e1", messageConfiguration, `"version":9`),
+		serves("e2")+line(130, "e2", messageServer, change)+line(5040, "e2", messageConfiguration, `"version":9`),
+		line(900, "e3", messageServer, change)+line(950, "e3", messageState, `"to":"serving"`)+line(5300, "e3", messageConfiguration, `"version":9`),
+		line(10, "e4", "the division of the servers by zone has changed", `"to":["a"]`))
+	require.Empty(t, bad)
+	leaving, configuration := a.spread.byKind["server leaving"], a.spread.byKind["configuration"]
+	require.EqualValues(t, 2, leaving.delays.TotalCount())
+	require.EqualValues(t, 30, leaving.last)
+	require.Equal(t, "e2", leaving.lastEntry)
+	require.Equal(t, 1, configuration.changes)
+	require.EqualValues(t, 300, configuration.last)
+	require.Equal(t, "e3", configuration.lastEntry)
+}
--- a/entry/cmd/arbutus-entry/account.go
+++ b/entry/cmd/arbutus-entry/account.go
@@ -55,7 +55,10 @@
 	if asCSV {
 		return a.WriteCSV(out)
 	}
-	return a.WriteTable(out)
+	if err := a.WriteTable(out); err != nil {
+		return err
+	}
+	return a.WriteTraffic(out)
 }
 
 func readAccount(inputs []account.Input, errs io.Writer) (*account.Account, error) {
--- a/entry/gateway/counters.go
+++ b/entry/gateway/counters.go
@@ -6,8 +6,7 @@
 type counters struct {
 	requests, complete, refused, unknown, gone, crossed, quarantined metrics.Counter
 	again, resumed, moved, serversEnded                              metrics.Counter
-	storeCalls, storeErrors, rowsRejected                            metrics.Counter
-	peerMessages, peerBytes, viewsFetched                            metrics.Counter
+	storeErrors, rowsRejected, viewsFetched                          metrics.Counter
 	linesDropped                                                     metrics.Counter
 	firstByte, whole                                                 metrics.Timer
 }
@@ -26,11 +25,8 @@
 		resumed:      counter("attempts.resumed"),
 		moved:        counter("attempts.moved"),
 		serversEnded: counter("attempts.server.ended"),
-		storeCalls:   counter("store.calls"),
 		storeErrors:  counter("store.errors"),
 		rowsRejected: counter("store.rows.rejected"),
-		peerMessages: counter("peer.messages"),
-		peerBytes:    counter("peer.bytes"),
 		viewsFetched: counter("peer.views.fetched"),
 		linesDropped: counter("log.lines.dropped"),
 		firstByte:    metrics.NewRegisteredTimer("first.byte", r),
--- a/entry/gateway/crossing_test.go
+++ b/entry/gateway/crossing_test.go
@@ -171,6 +171,51 @@
 	w.eventually("and knows that they are over", there.booked(0))
 }
 
+// A zone places a request for another one. Two of its entries are told of it, and pass it on: its other entries would send
+// prompts of their own to the same servers.
+func TestNewsOfAPlaceReachAllEntriesOfItsZone(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	entries := []*Server{there}
+	for range 3 {
+		settings := w.settings(there.settings.PeerAddress)
+		settings.Zone = "there"
+		entries = append(entries, w.start(settings))
+	}
+	for _, s := range entries {
+		w.eventually("the entries of the zone hear each other", func() bool {
+			s.peers.mu.Lock()
+			defer s.peers.mu.Unlock()
+			return w.known(s) && s.peers.group.Divided() && len(s.peers.group.Near(time.Now())) == len(entries)-1
+		})
+	}
+	release := make(chan struct{})
+	for _, worker := range w.workers[serversOfAZone:] {
+		worker.Script = func(out http.ResponseWriter, r *http.Request) {
+			<-release
+			standin.Events(out, r, 1, 0)
+		}
+	}
+	w.eventually("the other zone's room is heard", func() bool {
+		losesServers(here)
+		_, ok := here.roomElsewhere(time.Now(), "engines")
+		return ok
+	})
+	losesServers(here)
+	done := make(chan reply, 1)
+	go func() { done <- w.call(here, http.MethodPost, "/stream/", 2000, "x") }()
+	for _, s := range entries {
+		w.eventually("all of them have it in their books", s.booked(1))
+	}
+	close(release)
+	require.Equal(t, 200, (<-done).status)
+	for _, s := range entries {
+		w.eventually("and know that it is over", s.booked(0))
+	}
+}
+
 // The entry that was asked answers too late, or its answer is lost. What it has booked is
 // given back, or it would keep a server from its own callers until the request's time is over.
 func TestAPlaceThatIsNotHeardOfIsGivenBack(t *testing.T) {
--- a/entry/gateway/division.go
+++ b/entry/gateway/division.go
@@ -25,10 +25,12 @@
 func (s *Server) divide() {
 	s.mu.Lock()
 	before := s.dividedServices()
-	s.updateDivisions()
+	known := s.updateDivisions()
 	after := s.dividedServices()
-	// Entries tell each other of requests within their zone only if all services are divided.
-	s.peers.divide(len(after) > 0 && len(after) == len(s.divisions))
+	if known {
+		// Entries tell each other of requests within their zone only if all services are divided.
+		s.peers.divide(len(after) > 0 && len(after) == len(s.divisions))
+	}
 	s.mu.Unlock()
 	if !slices.Equal(before, after) {
 		s.log.WithFields(logrus.Fields{"from": before, "to": after}).Info("the division of the servers by zone has changed")
@@ -36,11 +38,12 @@
 }
 
 // updateDivisions takes in the servers and entries that there are now, and drops services
-// that have left the configuration; the caller holds the lock.
-func (s *Server) updateDivisions() {
+// that have left the configuration; the caller holds the lock. It returns false if no configuration
+// or no servers are known.
+func (s *Server) updateDivisions() bool {
 	table := s.table.Load()
-	if table == nil {
-		return
+	if table == nil || s.directory.Empty() {
+		return false
 	}
 	entries := s.peers.size()
 	divisions := map[string]parts.Division{}
@@ -53,4 +56,5 @@
 		divisions[service.Name] = division
 	}
 	s.divisions = divisions
+	return true
 }
--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -157,3 +157,28 @@
 	_, ok = s.choiceOf(peering.Place{Server: "i-1"})
 	require.False(t, ok)
 }
+
+// A zone is evacuated on a fleet whose entries keep to their zones. They go on doing so, and those of that zone have their
+// requests placed elsewhere: told of all requests of all others, hundreds of entries would do nothing else.
+func TestEntriesKeepToTheirZonesWhileOneIsEvacuated(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	w.zonesOfServers("here", "there")
+	here, there := w.twoZones()
+	w.store.Evacuate("here", true)
+	w.eventually("both know", func() bool { return here.avoids("here") && there.avoids("here") })
+	w.eventually("the other zone's room is heard", func() bool {
+		_, ok := here.roomElsewhere(time.Now(), "engines")
+		return ok
+	})
+	for range 5 {
+		require.Equal(t, 200, w.call(here, http.MethodPost, "/stream/", 2000, "x").status)
+	}
+	require.Zero(t, w.runsIn("here"))
+	require.EqualValues(t, 5, here.counters.crossed.Count())
+	for _, s := range []*Server{here, there} {
+		s.peers.mu.Lock()
+		require.True(t, s.peers.group.Divided())
+		s.peers.mu.Unlock()
+	}
+}
--- a/entry/gateway/news.go
+++ b/entry/gateway/news.go
@@ -126,24 +126,36 @@
 	}
 	p.mu.Unlock()
 	for zone, news := range pending {
+		news.Relay = zone != ""
 		p.sendNews(targets[zone], *news)
 	}
 }
 
-// listeners returns the entries that are told of the servers of a zone; empty is for this
-// entry's own. The lock is held.
+// listeners returns the entries that are told of the servers of a zone, and pass it on if it is
+// another one; empty is for this entry's own. The lock is held.
 func (p *peerExchange) listeners(now time.Time, zone string) []string {
 	if zone == "" {
 		return p.group.Near(now)
 	}
-	return p.group.In(now, zone)
+	return p.group.Relays(now, zone)
+}
+
+// pass passes on to near entries what one of another zone has told.
+func (p *peerExchange) pass(m peering.Message) {
+	p.tell(booking{}, func(news *peering.Message) {
+		news.Begun = append(news.Begun, m.Begun...)
+		news.First = append(news.First, m.First...)
+		news.Ended = append(news.Ended, m.Ended...)
+		news.Records = append(news.Records, m.Records...)
+	})
+	go p.flush()
 }
 
 func (p *peerExchange) sendNews(targets []string, news peering.Message) {
-	p.sendRecords(targets, news.Records)
+	p.sendRecords(targets, news.Records, news.Relay)
 	news.Records = nil
 	for len(news.Begun) > maxDispatches {
-		p.send(targets, peering.Message{Begun: news.Begun[:maxDispatches]})
+		p.send(targets, peering.Message{Begun: news.Begun[:maxDispatches], Relay: news.Relay})
 		news.Begun = news.Begun[maxDispatches:]
 	}
 	if news.HasNews() {
@@ -177,14 +189,6 @@
 	}
 }
 
-// tellKnown tells an entry of all others.
-func (p *peerExchange) tellKnown(now time.Time, target string) {
-	p.mu.Lock()
-	running := p.group.Running(now)
-	p.mu.Unlock()
-	p.sendMembers([]string{target}, running)
-}
-
 // tellOpen tells an entry that has started or was cut off of all that is under way
 // here. It would send prompts to servers that are full until those have ended.
 func (p *peerExchange) tellOpen(now time.Time, target string) {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -83,23 +83,41 @@
 	return nil
 }
 
-// hello tells entries of this zone that were just found that this one is there.
-func (p *peerExchange) hello(found []string) {
+// greet tells entries of this zone that were just found that this one is there, and asks one of them for the others if
+// nobody has told them yet.
+func (p *peerExchange) greet(now time.Time, found []string) {
 	p.mu.Lock()
-	neighbours := slices.DeleteFunc(slices.Clone(found), func(address string) bool { return p.group.Zone(address) != p.s.settings.Zone })
+	asked, told := p.group.Greets(now, found)
 	p.mu.Unlock()
-	p.send(neighbours, peering.Message{})
+	p.send(asked, peering.Message{Asks: true})
+	p.send(told, peering.Message{})
 }
 
 // announce tells all near entries at once that this one serves: from now on it can book what
 // they tell it, and they tell it what is open.
 func (p *peerExchange) announce() {
 	p.mu.Lock()
-	near := p.group.Near(time.Now())
+	p.group.Serve(true)
+	near := p.group.NearKnown()
 	p.mu.Unlock()
 	p.send(near, peering.Message{})
 }
 
+// stop takes this entry out of those that speak for its zone.
+func (p *peerExchange) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.group.Serve(false)
+}
+
+// answer tells an entry that asks who runs.
+func (p *peerExchange) answer(now time.Time, target, zone string) {
+	p.mu.Lock()
+	told := p.group.Answer(now, zone)
+	p.mu.Unlock()
+	p.sendMembers([]string{target}, told)
+}
+
 // seed takes in changed seeds.
 func (p *peerExchange) seed(seeds []string) {
 	p.mu.Lock()
@@ -144,24 +162,44 @@
 		p.s.log.WithError(err).Error("a message to the other entries could not be encoded")
 		return
 	}
+	p.countSent(targets, m.Kind(), len(data)+datagramHeaders)
 	for _, target := range targets {
 		address, err := p.resolve(target)
 		if err != nil {
 			p.s.log.WithError(err).WithField("peer", target).Warn("a peer's address can't be read")
 			continue
 		}
-		p.s.counters.peerMessages.Inc(1)
-		p.s.counters.peerBytes.Inc(int64(len(data)))
 		if _, err := p.conn.WriteTo(data, address); err != nil && !errors.Is(err, net.ErrClosed) {
 			p.s.log.WithError(err).WithField("peer", target).Debug("a message to another entry was lost")
 		}
 	}
 }
 
+// countSent counts a message that goes to some entries.
+func (p *peerExchange) countSent(targets []string, kind peering.Kind, bytes int) {
+	far := 0
+	p.mu.Lock()
+	for _, target := range targets {
+		if zone := p.group.Zone(target); zone != "" && zone != p.s.settings.Zone {
+			far++
+		}
+	}
+	p.mu.Unlock()
+	if near := len(targets) - far; near > 0 {
+		p.s.traffic.add(direction{sent: true}, kind, near, near*bytes)
+	}
+	if far > 0 {
+		p.s.traffic.add(direction{sent: true, far: true}, kind, far, far*bytes)
+	}
+}
+
 // sendMembers tells some entries of those that run.
 func (p *peerExchange) sendMembers(targets []string, members []peering.ZoneMembers) {
+	if len(targets) == 0 {
+		return
+	}
 	for _, part := range peering.InParts(members) {
-		p.send(targets, p.s.beat(part))
+		p.send(targets, peering.Message{Members: part})
 	}
 }
 
@@ -186,15 +224,7 @@
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
 		now := time.Now()
-		p.mu.Lock()
-		p.group.Forget(now)
-		beat := p.group.Heartbeat(now, turn)
-		running, neighbours := p.group.Running(now), p.group.Neighbours(now, turn)
-		silent, _ := p.group.Silent(now)
-		p.mu.Unlock()
-		p.noteSilent(silent)
-		p.sendMembers(beat.Lists, running)
-		p.sendBeats(now, beat, neighbours)
+		p.noteSilent(p.beat(now, turn))
 		p.catchUp(now)
 		select {
 		case <-ticker.C:
@@ -204,19 +234,39 @@
 	}
 }
 
-// sendBeats tells entries of this zone that this one lives, and those of other zones which
-// neighbours do as well.
-func (p *peerExchange) sendBeats(now time.Time, beat peering.Heartbeat, neighbours []peering.ZoneMembers) {
-	p.send(beat.Rest, p.s.beat(nil))
-	far := p.s.beat(neighbours)
-	far.SetRoom(p.s.tellRoom(now))
-	p.send(beat.Far, far)
+// beat tells near entries that this one lives, some of them of all others as well, and other zones of this one. It
+// returns the entries that are not heard.
+func (p *peerExchange) beat(now time.Time, turn int) (silent []string) {
+	near := p.s.recordsTold()
+	p.mu.Lock()
+	p.group.Forget(now)
+	beat := p.group.Heartbeat(now, turn)
+	near.Asks, near.Sum, near.Zones = p.group.Asks(now), p.group.Sum(now), p.group.HandOn(now, turn)
+	listed := p.group.Listed(now)
+	silent, _ = p.group.Silent(now)
+	p.mu.Unlock()
+	p.send(beat.Near, near)
+	p.sendMembers(beat.Lists, listed)
+	p.sendFar(now, turn, beat.Far)
+	return silent
+}
+
+// sendFar tells entries of other zones of this one.
+func (p *peerExchange) sendFar(now time.Time, turn int, targets []string) {
+	if len(targets) == 0 {
+		return
+	}
+	m := p.s.recordsTold()
+	m.SetRoom(p.s.tellRoom(now))
+	p.mu.Lock()
+	p.group.TellFar(now, turn, &m)
+	p.mu.Unlock()
+	p.send(targets, m)
 }
 
-// beat is a heartbeat that tells of some entries, and which requests this one remembers under
-// which servers end.
-func (s *Server) beat(members []peering.ZoneMembers) peering.Message {
-	m := peering.Message{Members: members}
+// recordsTold is a message that tells which requests this entry remembers under which servers end.
+func (s *Server) recordsTold() peering.Message {
+	var m peering.Message
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.SetRecordsSum(s.watch.Sum())
@@ -251,6 +301,7 @@
 			p.s.log.WithError(err).Warn("a message of another entry can't be read")
 			continue
 		}
+		p.s.traffic.add(direction{far: m.Zone != p.s.settings.Zone}, m.Kind(), 1, n+datagramHeaders)
 		p.take(time.Now(), m)
 	}
 }
@@ -258,6 +309,7 @@
 func (p *peerExchange) take(now time.Time, m peering.Message) {
 	p.mu.Lock()
 	sender := p.group.Heard(now, m)
+	passes, redirects, mistakes := p.group.Passes(m), p.group.Redirects(now, m), p.group.Mistakes(m)
 	p.mu.Unlock()
 	p.s.takeNews(now, m, sender.Restarted)
 	p.takeRecords(now, m)
@@ -270,14 +322,21 @@
 	if m.Ask != nil {
 		p.s.answerAsk(now, m.From, *m.Ask)
 	}
-	if len(sender.Found) > 0 {
-		// Their answers tell who is up to date. Where all start at once, nobody would hear of
-		// most others until the next heartbeat, and all would choose the same servers.
-		p.hello(sender.Found)
+	if passes {
+		p.pass(m)
+	}
+	if redirects {
+		p.sendFar(now, 0, []string{m.From})
 	}
+	// Answers tell who is up to date. Where all start at once, nobody would hear of most others until
+	// the next heartbeat, and all would choose the same servers.
+	p.greet(now, sender.Found)
 	p.catchUpSoon(m)
-	if sender.Joined {
-		p.tellKnown(now, m.From)
+	switch {
+	case m.Asks:
+		p.answer(now, m.From, m.Zone)
+	case sender.Joined && sender.Near, mistakes:
+		p.send([]string{m.From}, peering.Message{})
 	}
 	if sender.Missed {
 		p.tellOpen(now, m.From)
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -76,7 +76,6 @@
 	for s.tomb.Alive() && s.readsStore(time.Now()) {
 		revision := s.position()
 		changes, err := s.store.Watch(ctx, revision, s.readOptions.Load().Wait(watchWait))
-		s.counters.storeCalls.Inc(1)
 		if err != nil {
 			return err
 		}
@@ -98,13 +97,11 @@
 	if whole {
 		var err error
 		servers, err = s.store.ReadServers(ctx)
-		s.counters.storeCalls.Inc(1)
 		if err != nil {
 			return err
 		}
 	}
 	operators, err := s.store.ReadOperators(ctx)
-	s.counters.storeCalls.Inc(1)
 	if err != nil {
 		return err
 	}
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -113,13 +113,13 @@
 	p.s.mu.Lock()
 	records := p.s.watch.Records(now)
 	p.s.mu.Unlock()
-	p.sendRecords([]string{target}, records)
+	p.sendRecords([]string{target}, records, false)
 }
 
-// sendRecords sends records, in messages of their own.
-func (p *peerExchange) sendRecords(targets []string, records []quarantine.Record) {
+// sendRecords sends records, in messages of their own; relay asks the targets to pass them on.
+func (p *peerExchange) sendRecords(targets []string, records []quarantine.Record, relay bool) {
 	for part := range slices.Chunk(records, maxRecords) {
-		p.send(targets, peering.Message{Records: part})
+		p.send(targets, peering.Message{Records: part, Relay: relay})
 	}
 }
 
--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -49,17 +49,42 @@
 	if !s.readOptions.Load().Shares() {
 		return
 	}
-	for until := time.Now().Add(startWait); time.Now().Before(until); {
-		if s.peers.fetchFromReader(time.Now()) {
+	began := time.Now()
+	asked := began
+	for {
+		now := time.Now()
+		if now.Sub(asked) >= peering.AskAgain {
+			asked = now
+			s.peers.askIfLonely()
+		}
+		if s.peers.fetchFromReader(now) {
 			s.becomeReady()
 			return
 		}
-		if !s.sleep(startPoll) {
+		if s.peers.readsFirst(now, now.Sub(began)) || !s.sleep(startPoll) {
 			return
 		}
 	}
 }
 
+// askIfLonely asks the seeds once more who runs, if nobody has been heard yet.
+func (p *peerExchange) askIfLonely() {
+	p.mu.Lock()
+	var seeds []string
+	if p.group.Lonely() {
+		seeds = p.group.NearKnown()
+	}
+	p.mu.Unlock()
+	p.send(seeds, peering.Message{Asks: true})
+}
+
+// readsFirst says whether this entry, which has started a while ago, reads the store itself.
+func (p *peerExchange) readsFirst(now time.Time, since time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group.FirstRead(now, since)
+}
+
 func (p *peerExchange) shouldRead(now time.Time, self peering.StoreState) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -54,6 +54,7 @@
 	manager     *lifecycle.Manager
 	registry    metrics.Registry
 	counters    counters
+	traffic     *traffic
 	transport   *http.Transport
 	orders      *http.Client
 	store       *platform.Store
@@ -121,11 +122,13 @@
 		pause: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
+	s.traffic = newTraffic(s.registry)
 	admin.RegisterRuntime(s.registry)
 	s.manager = lifecycle.NewManager(s.stateChanged)
 	s.transport = newTransport()
 	s.orders = &http.Client{Transport: newTransport()}
 	s.store = platform.NewStore(settings.Store, storeClient(), storeTimeout)
+	s.store.Observe(s.traffic.called)
 	group := peering.New(settings.PeerAddress, settings.Zone, s.incarnation, settings.Seeds)
 	s.peers = newPeerExchange(s, group)
 	s.setReading(settings.readOptions())
@@ -156,6 +159,7 @@
 	case lifecycle.Serving:
 		s.peers.announce()
 	case lifecycle.Draining:
+		s.peers.stop()
 		s.beginStop()
 	case lifecycle.Stopped:
 		s.logCut()
@@ -231,6 +235,7 @@
 	t.Go(s.storeLoop)
 	t.Go(s.tickLoop)
 	t.Go(s.settingsLoop)
+	t.Go(s.trafficLoop)
 	return nil
 }
 
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -115,12 +115,8 @@
 	// readerPoll is how often an entry that doesn't read the store looks whether it has to:
 	// well below the time in which a change has to be in force.
 	readerPoll = 100 * time.Millisecond
-	// startWait is how long a starting entry waits to hear an entry that is up to date
-	// before it reads the store itself: some ten ways there and back between zones, and the
-	// time that a small host takes to answer. Where all start at once nobody is up to date,
-	// and all serve this much later.
-	startWait = 50 * time.Millisecond
-	// startPoll is how often it looks meanwhile.
+	// startPoll is how often a starting entry looks whether another one is up to date, or it has
+	// to read the store itself.
 	startPoll = 5 * time.Millisecond
 	// lostFor is for how long a failed call speaks against reading the store for others.
 	lostFor = 3 * time.Second
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -43,6 +43,10 @@
 			return fmt.Errorf("the view of %s: %w", peer, err)
 		}
 		p.s.counters.viewsFetched.Inc(1)
+		p.mu.Lock()
+		far := p.group.Zone(peer) != p.s.settings.Zone
+		p.mu.Unlock()
+		p.s.traffic.add(direction{far: far}, kindView, 1, len(file.Content))
 		p.s.adoptView(v, peer, servers)
 	}
 	return nil
--- /dev/null
+++ b/proof/fleet/cmd/fleet/main.go
@@ -0,0 +1,113 @@
+// Command fleet plays fleets of some sizes in virtual time and prints what the exchange between their entries costs, and to
+// which power of the entries it grows.
+package main
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"arbutusdeck/proof/fleet"
+)
+
+func main() {
+	command := &cli.Command{Name: "fleet", Usage: "what the exchange between entries costs, by the size of the fleet",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "entries", Value: []int{100, 424, 1000}, Usage: "sizes to play"},
+			&cli.IntFlag{Name: "zones", Value: 5, Usage: "availability zones"},
+			&cli.DurationFlag{Name: "length", Value: time.Minute, Usage: "how long is played"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the starts, losses and faults"},
+			&cli.FloatFlag{Name: "loss", Usage: "share of messages that are lost"},
+			&cli.IntFlag{Name: "changes", Usage: "changes of the store, one a second"},
+			&cli.FloatFlag{Name: "herd", Usage: "share of the entries that are killed in the middle"},
+			&cli.StringFlag{Name: "csv", Usage: "file for a row a size"},
+		}, Action: run}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, command *cli.Command) error {
+	var results []*fleet.Result
+	for _, entries := range command.IntSlice("entries") {
+		if entries < command.Int("zones") {
+			return fmt.Errorf("%d entries in %d zones: one a zone at least", entries, command.Int("zones"))
+		}
+		result := fleet.Play(options(command, entries))
+		if err := result.Print(os.Stdout); err != nil {
+			return err
+		}
+		results = append(results, result)
+	}
+	printPowers(results)
+	if path := command.String("csv"); path != "" {
+		return writeCSV(path, results)
+	}
+	return nil
+}
+
+func options(command *cli.Command, entries int) fleet.Options {
+	o := fleet.Usual(entries)
+	o.Zones, o.Length, o.Seed, o.Loss = command.Int("zones"), command.Duration("length"), command.Uint64("seed"), command.Float("loss")
+	for i := range command.Int("changes") {
+		o.Events = append(o.Events, fleet.Event{At: time.Duration(5+i) * time.Second, Kind: fleet.Change})
+	}
+	if herd := command.Float("herd"); herd > 0 {
+		o.Events = append(o.Events, fleet.Event{At: o.Length / 2, Kind: fleet.Kill, Share: herd, Zone: -1})
+	}
+	return o
+}
+
+// figures are what is compared between sizes.
+var figures = []struct {
+	name string
+	of   func(*fleet.Result) float64
+}{
+	{"bytes between zones, an entry", func(r *fleet.Result) float64 { return float64(r.FarBytes()) / float64(r.Options.Entries) }},
+	{"bytes within zones, an entry", func(r *fleet.Result) float64 { return float64(r.NearBytes()) / float64(r.Options.Entries) }},
+	{"calls of the store, an entry", func(r *fleet.Result) float64 { return float64(r.Calls) / float64(r.Options.Entries) }},
+	{"processor of the busiest entry", (*fleet.Result).Busiest},
+	{"bytes of the busiest entry", (*fleet.Result).BusiestBytes},
+	{"last entry serves after", func(r *fleet.Result) float64 { return fleet.Last(r.Serving).Seconds() }},
+}
+
+func printPowers(results []*fleet.Result) {
+	if len(results) < 2 {
+		return
+	}
+	first, last := results[0], results[len(results)-1]
+	fmt.Printf("from %d to %d entries, as entries to the power:\n", first.Options.Entries, last.Options.Entries)
+	for _, figure := range figures {
+		fmt.Printf("  %-32s %6.2f\n", figure.name, fleet.Power(first, last, figure.of))
+	}
+}
+
+func writeCSV(path string, results []*fleet.Result) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("the table could not be written: %w", err)
+	}
+	defer file.Close()
+	w := csv.NewWriter(file)
+	header := []string{"entries"}
+	for _, figure := range figures {
+		header = append(header, figure.name)
+	}
+	rows := [][]string{header}
+	for _, result := range results {
+		row := []string{fmt.Sprint(result.Options.Entries)}
+		for _, figure := range figures {
+			row = append(row, fmt.Sprint(figure.of(result)))
+		}
+		rows = append(rows, row)
+	}
+	if err := w.WriteAll(rows); err != nil {
+		return fmt.Errorf("the table could not be written: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/mutations/fleet_mutations_test.go
@@ -0,0 +1,30 @@
+package mutations
+
+const fleetPkg = "arbutusdeck/proof/fleet"
+
+// fleetMutations remove what keeps the exchange between entries from growing with the fleet, and what lets them find each
+// other all the same.
+var fleetMutations = []mutation{
+	{"two entries speak for a zone", "core/peering/beats.go", "	if g.isDelegate(now) {\n", "	if true {\n", peeringPkg, "TestTwoEntriesOfAZoneSpeak"},
+	{"what crosses zones does not grow", "core/peering/beats.go", "	if g.isDelegate(now) {\n", "	if true {\n", fleetPkg, "TestWhatAnEntrySends"},
+	{"delegates are replaced", "core/peering/readers.go", "now.Sub(m.heard) < SilentAfter && !m.heard.IsZero() && holds(m)", "!m.heard.IsZero() && holds(m)", peeringPkg, "TestDelegatesAreReplaced"},
+	{"those that serve speak first", "core/peering/far.go", "	ranked := g.ranked(now, g.serves, func(m *member) bool { return !m.serving.IsZero() })\n", "	var ranked []string\n", peeringPkg, "TestThoseThatServe"},
+	{"few of another zone are known", "core/peering/group.go", "			if isNew && g.hasEnough(now, told.Zone) {\n				continue\n			}\n", "", peeringPkg, "TestFewEntriesOfAnotherZone"},
+	{"budgets are divided among all zones", "core/peering/group.go", "max(far.entries-known[zone], 0)", "0*max(far.entries-known[zone], 0)", peeringPkg, "TestFewEntriesOfAnotherZone"},
+	{"what other zones tell is handed on", "core/peering/far.go", "			g.takeSummary(now, summary)\n", "", peeringPkg, "TestWhatOtherZonesTell"},
+	{"what was handed on is not handed on again", "core/peering/far.go", "far == nil || far.direct.IsZero() || now.Sub(far.direct) >= handedOnFor", "far == nil", peeringPkg, "TestWhatOtherZonesTell"},
+	{"older words of a zone change nothing", "core/peering/far.go", "	if asOf.Before(f.asOf) {\n		return\n	}\n", "", peeringPkg, "TestWhatOtherZonesTell"},
+	{"who speaks for a zone is told", "core/peering/far.go", "m.Zone != g.zone && !g.isDelegate(now)", "m.Zone != g.zone && false", peeringPkg, "TestWhoTakesAnEntryForADelegate"},
+	{"a mistaken entry is told the zone", "core/peering/far.go", "	return g.scope != scopeWhole && m.Sum != 0 && m.Zone", "	return false && m.Zone", peeringPkg, "TestWhoTakesAnEntryForANear"},
+	{"news cross zones through relays", "entry/gateway/peers.go", "	if passes {\n", "	if passes && false {\n", gatewayPkg, "TestNewsOfAPlaceReach"},
+	{"relayed news are not passed round", "core/peering/far.go", "m.Relay && m.Zone != \"\" && m.Zone != g.zone", "m.Relay", peeringPkg, "TestNewsCrossZones"},
+	{"a joining entry asks a neighbour", "core/peering/join.go", "	if len(found) > 0 && g.Asks(now) {\n", "	if false {\n", peeringPkg, "TestAStartingEntryFinds"},
+	{"lists that all know are not told", "core/peering/beats.go", "g.members[address].sum != sum {", "(true || g.members[address].sum != sum) {", peeringPkg, "TestAllAreToldOfAll"},
+	{"few read the store first", "core/peering/start.go", " < readersPerZone<<min(waited/readTurn, maxTurns)", " < 1000", peeringPkg, "TestWhereAllStartAtOnce"},
+	{"calls at a start do not grow", "core/peering/start.go", " < readersPerZone<<min(waited/readTurn, maxTurns)", " < 1000", fleetPkg, "TestCallsOfTheStore"},
+	{"more read the store with the time", "core/peering/start.go", "readersPerZone<<min(waited/readTurn, maxTurns)", "readersPerZone", peeringPkg, "TestWhereAllStartAtOnce"},
+	{"ranks are believed once no more are found", "core/peering/start.go", "	quiet := now.Sub(g.foundAt) - quietTime\n", "	quiet := since\n", peeringPkg, "TestTheRanksAreBelieved"},
+	{"the wait for others ends", "core/peering/start.go", "max(min(quiet, since-startWait), since-quietLimit)", "min(quiet, since-startWait)", peeringPkg, "TestTheRanksAreBelieved|TestAnEntryThatHearsNo"},
+	{"all that have the list hand it on", "core/peering/readers.go", "g.hasList(now, m) && m.version >= version && m.revision >= revision", "g.hasList(now, m) && m.store.Reads", peeringPkg, "TestAListIsTakenOver"},
+	{"a lonely entry asks again", "core/peering/start.go", "func (g *Group) Lonely() bool { return g.heardFirst.IsZero() }", "func (g *Group) Lonely() bool { return false }", peeringPkg, "TestAnEntryThatHearsNo"},
+}
