The second reader of a zone asks the store less often

Change: a reader waits a tenth of the limit of changes after an answer, the ones behind the first of their zone a fifth: these are there for the time when the first is gone. Pause and wait together keep within what others take for fresh; before, the pause came on top of it. The exploration of readers under faults pauses as well now.

The account clamps delays of clocks that are behind.

--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -25,9 +25,15 @@
 	// readStagger lies between the entries of a zone that turn to the store because nothing
 	// fresh is heard: mostly the first one's success keeps the others from it.
 	readStagger = 50 * time.Millisecond
-	// beatSlack is what the knowledge of a reader that is well may be older than its waiting
-	// call lasts, as others see it: a heartbeat's interval and its way.
-	beatSlack = HeartbeatInterval + 200*time.Millisecond
+	// beatSlack is what the knowledge of a reader that is well may be older than its pause and its
+	// waiting call last, as others see it: a heartbeat's interval and its way.
+	beatSlack = HeartbeatInterval + 100*time.Millisecond
+	// pauseShare is the part of the limit of changes for which the first reader of a zone waits after
+	// an answer before it asks again, so that changes in quick succession come in one answer.
+	pauseShare = 0.1
+	// standbyPauseShare is the same for the others. They are there for the time when the first one is
+	// gone, and while it is heard all know what it tells.
+	standbyPauseShare = 0.2
 )
 
 // StoreState is what an entry says of its reading of the platform's store.
@@ -58,13 +64,22 @@
 	return time.Duration(staleShare * float64(o.Limit))
 }
 
-// Wait bounds how long a reader's call waits for changes: the answer shows the others that
-// the reader still reaches the store.
-func (o ReadOptions) Wait(longest time.Duration) time.Duration {
+// Wait bounds how long a reader's call waits for changes that comes after a pause: the answer shows
+// the others that the reader still reaches the store.
+func (o ReadOptions) Wait(longest, pause time.Duration) time.Duration {
 	if !o.Shares() {
 		return longest
 	}
-	return min(longest, o.staleAfter()-beatSlack)
+	return min(longest, o.staleAfter()-beatSlack-pause)
+}
+
+// ReadPause is how long this entry waits after an answer of the store before it asks again.
+func (g *Group) ReadPause(now time.Time) time.Duration {
+	share := pauseShare
+	if ranked := g.readersRanked(now); g.reading.Shares() && ranked[0] != g.self {
+		share = standbyPauseShare
+	}
+	return time.Duration(share * float64(g.reading.Limit))
 }
 
 // SetReading sets this entry's own options and state.
--- a/core/peering/readers_test.go
+++ b/core/peering/readers_test.go
@@ -118,8 +118,8 @@
 		g.SetReading(ReadOptions{Capacity: 1, Limit: leastReadLimit - 1})
 	}
 	require.Len(t, readersOf(groups, start), 4)
-	require.Equal(t, 2*time.Second, ReadOptions{Limit: 2 * time.Second}.Wait(2*time.Second))
-	require.Equal(t, 1300*time.Millisecond, ReadOptions{Limit: 4 * time.Second}.Wait(2*time.Second))
+	require.Equal(t, 2*time.Second, ReadOptions{Limit: 2 * time.Second}.Wait(2*time.Second, 200*time.Millisecond))
+	require.Equal(t, time.Second, ReadOptions{Limit: 4 * time.Second}.Wait(2*time.Second, 400*time.Millisecond))
 }
 
 // A starting entry takes the list from a reader that is up to date, and from nobody else.
@@ -208,7 +208,9 @@
 
 // callLength is after how long a call on a silent connection is given up: its wait, and the
 // second that the store's client allows beyond it.
-var callLength = ReadOptions{Limit: changeLimit}.Wait(2*time.Second) + time.Second
+func callLength(pause time.Duration) time.Duration {
+	return ReadOptions{Limit: changeLimit}.Wait(2*time.Second, pause) + time.Second
+}
 
 // readingZone plays the entries of a zone and the store in steps of virtual time. The store
 // changes all the time; knows is up to when an entry has heard of all changes.
@@ -218,7 +220,8 @@
 	from   time.Duration // when the faults strike
 	now    time.Duration
 	knows  []time.Duration
-	asked  []time.Duration // when the call under way was sent, if any
+	asked  []time.Duration // when the call under way is sent, if any, after the pause before it
+	pause  []time.Duration // what that pause was
 	asking []bool
 	reads  []bool
 	lost   []time.Duration
@@ -228,7 +231,7 @@
 func newReadingZone(struck []fault, phase time.Duration) *readingZone {
 	count := len(struck)
 	return &readingZone{groups: zoneGroups(count, sameCapacity), struck: struck, from: 2*time.Second + phase, knows: make([]time.Duration, count),
-		asked: make([]time.Duration, count), asking: make([]bool, count), reads: make([]bool, count), lost: make([]time.Duration, count), fine: make([]time.Duration, count)}
+		asked: make([]time.Duration, count), pause: make([]time.Duration, count), asking: make([]bool, count), reads: make([]bool, count), lost: make([]time.Duration, count), fine: make([]time.Duration, count)}
 }
 
 func (z *readingZone) has(i int, f fault) bool {
@@ -264,11 +267,14 @@
 		z.asking[i] = false
 	case !z.asking[i]:
 		z.asking[i], z.asked[i] = true, z.now
+	case z.now < z.asked[i]:
+		// It waits before its next call.
 	case !z.has(i, storeless):
-		// Its waiting call brings every change at once, and the next one begins.
-		z.knows[i], z.fine[i], z.asked[i], z.lost[i] = z.now, z.now, z.now, 0
+		// Its waiting call brings every change at once, and the next one comes after a pause.
+		z.pause[i] = z.groups[i].ReadPause(z.clock())
+		z.knows[i], z.fine[i], z.asked[i], z.lost[i] = z.now, z.now, z.now+z.pause[i], 0
 		z.tellChanges(i)
-	case z.now-z.asked[i] >= callLength:
+	case z.now-z.asked[i] >= callLength(z.pause[i]):
 		z.lost[i], z.asking[i] = z.now, false
 	}
 	if z.now%HeartbeatInterval == 0 {
@@ -300,3 +306,14 @@
 		}
 	}
 }
+
+// Both readers of a zone asked the store for each change of the whole fleet as it came, four times a second on a busy day.
+// The second one asks less often as long as the first is heard; where all entries read, none of them waits for another.
+func TestTheSecondReaderAsksLessOften(t *testing.T) {
+	groups := zoneGroups(3, func(i int) int { return 10 - i })
+	require.Equal(t, 300*time.Millisecond, groups[0].ReadPause(start))
+	require.Equal(t, 600*time.Millisecond, groups[1].ReadPause(start))
+	require.Equal(t, 300*time.Millisecond, groups[1].ReadPause(start.Add(SilentAfter)), "it is the first by now")
+	groups[1].SetReading(ReadOptions{Limit: 2 * time.Second})
+	require.Equal(t, 200*time.Millisecond, groups[1].ReadPause(start))
+}
--- a/entry/account/spread.go
+++ b/entry/account/spread.go
@@ -69,7 +69,8 @@
 		of.changes++
 		first = line.Time
 	}
-	delay := min(line.Time.Sub(first).Milliseconds(), longestMs)
+	// Clocks differ, so that a later line may bear an earlier time.
+	delay := min(max(line.Time.Sub(first).Milliseconds(), 0), longestMs)
 	if delay > of.last || of.lastEntry == "" {
 		of.last, of.lastEntry = delay, line.Entry
 	}
--- a/entry/account/traffic_test.go
+++ b/entry/account/traffic_test.go
@@ -37,12 +37,12 @@
 	change := `"server":"i-1","to":"leaving","revision":7`
 	a, bad := read(t,
 		serves("e1")+line(100, "e1", messageServer, change)+line(5000, "e1", messageConfiguration, `"version":9`),
-		serves("e2")+line(130, "e2", messageServer, change)+line(5040, "e2", messageConfiguration, `"version":9`),
+		serves("e2")+line(130, "e2", messageServer, change)+line(95, "e2", messageServer, change)+line(5040, "e2", messageConfiguration, `"version":9`),
 		line(900, "e3", messageServer, change)+line(950, "e3", messageState, `"to":"serving"`)+line(5300, "e3", messageConfiguration, `"version":9`),
 		line(10, "e4", "the division of the servers by zone has changed", `"to":["a"]`))
 	require.Empty(t, bad)
 	leaving, configuration := a.spread.byKind["server leaving"], a.spread.byKind["configuration"]
-	require.EqualValues(t, 2, leaving.delays.TotalCount())
+	require.EqualValues(t, 3, leaving.delays.TotalCount(), "also by a clock that is behind")
 	require.EqualValues(t, 30, leaving.last)
 	require.Equal(t, "e2", leaving.lastEntry)
 	require.Equal(t, 1, configuration.changes)
--- a/entry/gateway/crossing_test.go
+++ b/entry/gateway/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -191,10 +192,12 @@
 			return w.known(s) && s.peers.group.Divided() && len(s.peers.group.Near(time.Now())) == len(entries)-1
 		})
 	}
-	release := make(chan struct{})
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	t.Cleanup(release)
 	for _, worker := range w.workers[serversOfAZone:] {
 		worker.Script = func(out http.ResponseWriter, r *http.Request) {
-			<-release
+			<-released
 			standin.Events(out, r, 1, 0)
 		}
 	}
@@ -209,7 +212,7 @@
 	for _, s := range entries {
 		w.eventually("all of them have it in their books", s.booked(1))
 	}
-	close(release)
+	release()
 	require.Equal(t, 200, (<-done).status)
 	for _, s := range entries {
 		w.eventually("and know that it is over", s.booked(0))
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -75,14 +75,14 @@
 	}
 	for s.tomb.Alive() && s.readsStore(time.Now()) {
 		revision := s.position()
-		changes, err := s.store.Watch(ctx, revision, s.readOptions.Load().Wait(watchWait))
+		pause := s.peers.readPause(time.Now())
+		changes, err := s.store.Watch(ctx, revision, s.readOptions.Load().Wait(watchWait, pause))
 		if err != nil {
 			return err
 		}
 		s.reached()
 		s.takeWatched(revision, changes)
 		s.becomeReady()
-		pause := time.Duration(watchPauseShare * float64(s.readOptions.Load().Limit))
 		if !s.sleep(pause) {
 			return nil
 		}
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -109,9 +109,6 @@
 	// storeRetryMin and storeRetryMax bound the pause after a failed call.
 	storeRetryMin = 100 * time.Millisecond
 	storeRetryMax = time.Second
-	// watchPauseShare is the part of the limit of changes for which a reader waits after a
-	// change before it asks again, so that changes in quick succession come in one answer.
-	watchPauseShare = 0.05
 	// readerPoll is how often an entry that doesn't read the store looks whether it has to:
 	// well below the time in which a change has to be in force.
 	readerPoll = 100 * time.Millisecond
--- a/proof/fleet/entry.go
+++ b/proof/fleet/entry.go
@@ -174,7 +174,8 @@
 		e.look()
 		return
 	}
-	wait := peering.ReadOptions{Limit: e.fleet.options.Limit}.Wait(2 * time.Second)
+	pause := e.group.ReadPause(e.now())
+	wait := peering.ReadOptions{Limit: e.fleet.options.Limit}.Wait(2*time.Second, pause)
 	e.fleet.store.watch(e, wait, func(ok bool) {
 		if !ok {
 			e.reads = false
@@ -186,7 +187,7 @@
 		if changed {
 			e.tellChange()
 		}
-		e.later(watchPause(e.fleet.options.Limit), e.follow)
+		e.later(pause, e.follow)
 	})
 }
 
--- a/proof/fleet/store.go
+++ b/proof/fleet/store.go
@@ -13,14 +13,10 @@
 	// rowBytes is a server's row in a view, configurationBytes a configuration of some hundred workspaces.
 	rowBytes           = 150
 	configurationBytes = 60_000
-	// pauseShare is the part of the limit of changes for which a reader waits after a change.
-	pauseShare = 0.05
 )
 
 func viewBytes(servers int) int { return servers*rowBytes + configurationBytes }
 
-func watchPause(limit time.Duration) time.Duration { return time.Duration(pauseShare * float64(limit)) }
-
 // store is the platform's store.
 type store struct {
 	fleet    *fleet
