Wait for the list of servers before telling all zones

Cause: at a platform's first start servers come one by one. Ruled out: beats of entries that took the others for near for good (the scope was right a second later). Change: the scope stays unknown, as before the first server, while servers have been added within the last half second. The stand-ins place a server's zone and cold time themselves; tests no longer write rows by hand.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// KnowsScope says whether Divide was called.
+func (g *Group) KnowsScope() bool { return g.scope != scopeUnknown }
+
 // Serve sets whether this entry takes requests.
 func (g *Group) Serve(serves bool) { g.serves = serves }
 
--- a/entry/gateway/cold_test.go
+++ b/entry/gateway/cold_test.go
@@ -15,23 +15,16 @@
 // once, as not run.
 func TestAColdServerGetsFewRequests(t *testing.T) {
 	w := newWorld(t)
-	w.configure(func(c map[string]any) {
-		for _, service := range c["Services"].([]map[string]any) {
-			service["ColdPerS"] = 8.0
-		}
-	})
+	w.configure(func(c map[string]any) { standin.BoundCold(c, 8) })
 	events := func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) }
 	var cold []*standin.Worker
 	for _, service := range []string{"engines", "plain"} {
 		worker := standin.NewWorker("cold-"+service, service)
+		worker.ColdFor = time.Minute
 		if service == "engines" {
 			worker.Script = events
 		}
-		t.Cleanup(worker.Close)
-		key, row := worker.Row("ready")
-		row["ColdLeftMs"] = (time.Minute).Milliseconds()
-		w.store.Put(key, row)
-		w.workers = append(w.workers, worker)
+		w.list(worker)
 		cold = append(cold, worker)
 	}
 	w.worker("warm-engine", "engines", events)
--- a/entry/gateway/crossing_test.go
+++ b/entry/gateway/crossing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
@@ -24,13 +25,7 @@
 	events := func(out http.ResponseWriter, r *http.Request) { standin.Events(out, r, 1, 0) }
 	for _, zone := range zones {
 		for i := range serversOfAZone {
-			worker := standin.NewWorker(fmt.Sprintf("%s-%02d", zone, i), "engines")
-			worker.Script = events
-			w.t.Cleanup(worker.Close)
-			key, row := worker.Row("ready")
-			row["Zone"] = zone
-			w.store.Put(key, row)
-			w.workers = append(w.workers, worker)
+			w.workerIn(zone, fmt.Sprintf("%02d", i), "engines", events)
 		}
 	}
 }
@@ -121,12 +116,7 @@
 	w.zonesOfServers("here", "there")
 	for _, zone := range []string{"here", "there"} {
 		for i := range serversOfAZone {
-			worker := standin.NewWorker(fmt.Sprintf("%s-second-%02d", zone, i), "second")
-			t.Cleanup(worker.Close)
-			key, row := worker.Row("ready")
-			row["Zone"] = zone
-			w.store.Put(key, row)
-			w.workers = append(w.workers, worker)
+			w.workerIn(zone, fmt.Sprintf("second-%02d", i), "second", nil)
 		}
 	}
 	here, _ := w.twoZones()
@@ -283,3 +273,20 @@
 	require.EqualValues(t, 2, runs.Load())
 	require.Zero(t, w.runsIn("here"))
 }
+
+// A platform starts, and its servers come one by one. The first few of a zone don't make a part: hundreds of entries told
+// each other of all zones twice a second that they live, until there were enough.
+func TestAListThatGrowsDoesNotMakeAllZonesNear(t *testing.T) {
+	s := loneEntry(t)
+	s.peers.group = peering.New(s.settings.PeerAddress, "here", "i", nil)
+	far := peering.Message{From: "127.0.0.1:2", Zone: "there"}
+	s.peers.take(time.Now(), far)
+	s.mu.Lock()
+	noted := s.takeRows([]directory.Server{{ID: "first", Service: "engines", Address: "127.0.0.1:1", Zone: "there", Slots: 1, Revision: 9}}, nil)
+	s.mu.Unlock()
+	s.noteServers(noted, "platform")
+	require.Empty(t, s.peers.group.NearKnown())
+	s.grewAt = time.Now().Add(-growTime)
+	s.divide()
+	require.Equal(t, []string{"127.0.0.1:2"}, s.peers.group.NearKnown(), "there are no more: all share all servers")
+}
--- a/entry/gateway/division.go
+++ b/entry/gateway/division.go
@@ -3,12 +3,17 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"arbutusdeck/core/parts"
 )
 
+// growTime is for how long no server must have been added until the list counts as whole: at the first start of a platform
+// its servers come one by one.
+const growTime = 500 * time.Millisecond
+
 // isDivided says whether entries keep to their zone's servers of a service; the caller
 // holds the lock.
 func (s *Server) isDivided(service string) bool { return s.divisions[service].Divided() }
@@ -29,7 +34,7 @@
 	after := s.dividedServices()
 	if known {
 		// Entries tell each other of requests within their zone only if all services are divided.
-		s.peers.divide(len(after) > 0 && len(after) == len(s.divisions))
+		s.peers.divide(len(after) > 0 && len(after) == len(s.divisions), time.Since(s.grewAt) < growTime)
 	}
 	s.mu.Unlock()
 	if !slices.Equal(before, after) {
--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -20,12 +20,8 @@
 // workerIn adds a backend server of a zone.
 func (w *world) workerIn(zone, id, service string, script http.HandlerFunc) *standin.Worker {
 	worker := standin.NewWorker(zone+"-"+id, service)
-	worker.Script = script
-	w.t.Cleanup(worker.Close)
-	key, row := worker.Row("ready")
-	row["Zone"] = zone
-	w.store.Put(key, row)
-	w.workers = append(w.workers, worker)
+	worker.Script, worker.Zone = script, zone
+	w.list(worker)
 	return worker
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -125,11 +125,14 @@
 	p.group.Seed(time.Now(), seeds)
 }
 
-// divide sets whether entries keep to the servers of their own zone.
-func (p *peerExchange) divide(divided bool) {
+// divide sets whether entries keep to the servers of their own zone. While the list of servers still grows, too few of them
+// say nothing yet: an entry of a large fleet would tell all that it knows of that it lives, until its zone has enough.
+func (p *peerExchange) divide(divided, grows bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.group.Divide(divided)
+	if divided || !grows || p.group.KnowsScope() {
+		p.group.Divide(divided)
+	}
 }
 
 // size returns how many entries may spend a shared budget.
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -232,6 +232,9 @@
 	for _, server := range servers {
 		if change, ok := s.directory.Upsert(server); ok {
 			noted = append(noted, change)
+			if change.From == "" {
+				s.grewAt = time.Now()
+			}
 		}
 	}
 	for _, left := range gone {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -95,6 +95,8 @@
 	book       *placement.Book
 	// cold bounds what servers get while they are cold.
 	cold *coldstart.Limiter
+	// grewAt is when a server was added to the list that it did not hold when it was read whole.
+	grewAt time.Time
 	// divisions tell for each engine service whether entries keep to their zone's servers.
 	divisions map[string]parts.Division
 	budgets   map[string]*execution.RetryBudget
