The soak evacuates a zone, brings servers back cold, and dates stops right

The soak's servers stand in two zones; one is evacuated and taken back again and again beside all other faults, and a server that starts during the run is cold for two seconds. Checks: an evacuated zone gets nothing new once the change is in force, a cold server begins no more runs a second than it bears. Random numbers of their own: the faults of a seed stay what they were.

The exit was dated from the second SIGTERM. An exit is dated from the first signal now: that is exact, and the bound on how long a stop takes gets stricter.

--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -101,6 +101,16 @@
 			r.Calls[0].Status, r.Calls[0].Signature, r.Calls[0].Body, r.Runs = 503, "", "{"+quarantinedCode+"}", nil
 		},
 		"a leaving server gets nothing new": func(r *Records) { r.Leaving["w"] = after(5) },
+		"an evacuated zone gets nothing new": func(r *Records) {
+			r.Lives["w"].Zone = zones[1]
+			r.Evacuations = []Interval{{Kind: ZoneEvacuated, From: after(1), To: after(30)}}
+		},
+		"a cold server gets what it bears": func(r *Records) {
+			r.Lives["w"].Cold = after(30)
+			for range coldRate {
+				again(r, func(*Run) {})
+			}
+		},
 	}
 	for promise, breaks := range cases {
 		t.Run(promise, func(t *testing.T) {
@@ -229,6 +239,23 @@
 	require.Contains(t, promisesOf(r), "a planned stop cuts nothing", "nothing was open at the limit")
 }
 
+// Requests reach a zone shortly after it was evacuated, and as soon as it is taken back; a server gets as many in a second
+// as it bears while it is cold, and more once it is not.
+func TestEvacuatedZonesAndColdServersMayServe(t *testing.T) {
+	r := soundRecords()
+	r.Lives["w"].Zone, r.Lives["w"].Cold = zones[1], after(10)
+	r.Evacuations = []Interval{{Kind: ZoneEvacuated, From: after(9)}, {Kind: ZoneEvacuated, From: after(1), To: after(10)}}
+	for i := range 2 * coldRate {
+		run := *r.Runs[0]
+		run.ID, run.Began, run.Ended = fmt.Sprint("w", i), after(10.02), after(10.03)
+		r.Runs = append(r.Runs, &run)
+		call := r.Calls[0]
+		call.ID = run.ID
+		r.Calls = append(r.Calls, call)
+	}
+	require.Empty(t, Check(r, true))
+}
+
 // promisesOf are the promises that the records of a run show broken.
 func promisesOf(r *Records) []string {
 	var promises []string
--- a/proof/soak/check_times.go
+++ b/proof/soak/check_times.go
@@ -15,7 +15,9 @@
 	}
 	for _, a := range c.Arrivals {
 		c.checkLeaving(a)
+		c.checkEvacuated(a)
 	}
+	c.checkCold()
 	for _, e := range c.Exits {
 		if e.ByItself || c.disturbed(e.Entry, e.Began, e.Began.Add(e.Took)) {
 			continue
@@ -42,7 +44,7 @@
 // inTouch says that no fault touched an entry from the stable window before a time
 // on, and none of the planned kinds that end or change processes.
 func (c *checker) inTouch(entry int, from, to time.Time) bool {
-	return !c.struck(entry, from.Add(-stableWindow), to, func(k Kind) bool { return k != ConfigChanges && k != WorkerLeaves })
+	return !c.struck(entry, from.Add(-stableWindow), to, func(k Kind) bool { return k != ConfigChanges && k != WorkerLeaves && k != ZoneEvacuated })
 }
 
 // disturbed says that something other than planned work touched an entry.
--- /dev/null
+++ b/proof/soak/check_zones.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+// checkEvacuated finds requests that reach a server of a zone long after the zone was evacuated, and before it is taken
+// back.
+func (c *checker) checkEvacuated(a Arrival) {
+	life, call := c.Lives[a.Worker], c.calls[a.ID]
+	if life == nil || call == nil || life.Zone != zones[1] {
+		return
+	}
+	for _, e := range c.Evacuations {
+		if a.At.Before(e.From.Add(c.ChangeBound+slack)) || !e.To.IsZero() && a.At.After(e.To) {
+			continue
+		}
+		if c.inTouch(call.Entry, call.Began, a.At) {
+			c.found("an evacuated zone gets nothing new", "%s reached %s %s after its zone was evacuated", a.ID, a.Worker, a.At.Sub(e.From).Round(time.Millisecond))
+		}
+	}
+}
+
+// coldWindow is the span in which the requests at a cold server are counted.
+const coldWindow = time.Second
+
+// checkCold finds cold servers that ran more requests in a second than they bear.
+func (c *checker) checkCold() {
+	began := map[string][]time.Time{}
+	for _, run := range c.Runs {
+		if life := c.Lives[run.Worker]; life != nil && run.Began.Before(life.Cold) {
+			began[run.Worker] = append(began[run.Worker], run.Began)
+		}
+	}
+	for worker, times := range began {
+		slices.SortFunc(times, time.Time.Compare)
+		for i, from := range times {
+			within, _ := slices.BinarySearchFunc(times, from.Add(coldWindow), time.Time.Compare)
+			if within-i > coldRate {
+				c.found("a cold server gets what it bears", "%s began %d runs in a second while it was cold", worker, within-i)
+				break
+			}
+		}
+	}
+}
--- a/proof/soak/cmd/soak/main.go
+++ b/proof/soak/cmd/soak/main.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "fatal", Value: 2, Usage: "how many requests come again and again that end each server which begins to run them"},
 			&cli.DurationFlag{Name: "hold", Value: soak.DefaultFatalHold, Usage: "for how long at the most servers run such a request before they end, while many of its callers leave"},
 			&cli.IntFlag{Name: "long", Value: 1, Usage: "how many callers of streams that outlast most stops each entry has"},
+			&cli.BoolFlag{Name: "zones", Value: true, Usage: "spread the servers over two zones, evacuate one now and then, and let servers come back cold"},
 			&cli.BoolFlag{Name: "untimed", Usage: "check no promise that bounds a time, for a machine that is busy"},
 			&cli.StringFlag{Name: "keep", Value: filepath.Join(os.TempDir(), "arbutus-soak"), Usage: "the `FOLDER` that keeps the logs of failed seeds"},
 		},
@@ -76,7 +77,7 @@
 func playSeed(c *cli.Command, seed uint64, binary, folder string) (bool, error) {
 	kept := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 	report, err := soak.Play(soak.Options{Seed: seed, Length: time.Duration(c.Float("minutes") * float64(time.Minute)), Entries: c.Int("processes"),
-		Workers: c.Int("workers"), ChangeBound: c.Duration("bound"), Fatal: c.Int("fatal"), FatalHold: c.Duration("hold"), Long: c.Int("long"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
+		Workers: c.Int("workers"), ChangeBound: c.Duration("bound"), Fatal: c.Int("fatal"), FatalHold: c.Duration("hold"), Long: c.Int("long"), Zones: c.Bool("zones"), Binary: binary, Folder: kept, Timed: !c.Bool("untimed"), Progress: os.Stderr})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, kept, err)
 	}
@@ -88,7 +89,7 @@
 	for _, f := range report.Findings {
 		fmt.Printf("  %s: %s\n", f.Promise, f.Detail)
 	}
-	fmt.Printf("  logs: %s; again: soak --seed %d --minutes %g --processes %d --workers %d --bound %s --fatal %d --hold %s --long %d\n", kept, seed, c.Float("minutes"), c.Int("processes"),
-		c.Int("workers"), c.Duration("bound"), c.Int("fatal"), c.Duration("hold"), c.Int("long"))
+	fmt.Printf("  logs: %s; again: soak --seed %d --minutes %g --processes %d --workers %d --bound %s --fatal %d --hold %s --long %d --zones=%t\n", kept, seed, c.Float("minutes"), c.Int("processes"),
+		c.Int("workers"), c.Duration("bound"), c.Int("fatal"), c.Duration("hold"), c.Int("long"), c.Bool("zones"))
 	return false, nil
 }
--- a/proof/soak/daemon.go
+++ b/proof/soak/daemon.go
@@ -41,7 +41,9 @@
 type process struct {
 	cmd   *exec.Cmd
 	asked bool // it was told to end
-	gone  chan struct{}
+	// stopping is when the first SIGTERM was sent; later ones don't prolong the stop.
+	stopping time.Time
+	gone     chan struct{}
 }
 
 func newDaemon(index int, binary, folder string, settings gateway.Settings, records *Records) (*daemon, error) {
@@ -117,6 +119,9 @@
 	defer d.mu.Unlock()
 	p := d.process
 	p.asked = p.asked || ends
+	if s == syscall.SIGTERM && p.stopping.IsZero() {
+		p.stopping = time.Now()
+	}
 	_ = p.cmd.Process.Signal(s)
 	return p
 }
@@ -132,7 +137,6 @@
 
 // stop asks for a planned end, and kills a process that doesn't come to it.
 func (d *daemon) stop() {
-	began := time.Now()
 	p := d.signal(syscall.SIGTERM, true)
 	select {
 	case <-p.gone:
@@ -140,7 +144,14 @@
 		_ = p.cmd.Process.Kill()
 		<-p.gone
 	}
-	d.records.exited(Exit{Entry: d.index, Code: p.cmd.ProcessState.ExitCode(), Began: began, Took: time.Since(began)})
+	d.records.exited(d.exit(p))
+}
+
+// exit describes the planned end of a process that is gone.
+func (d *daemon) exit(p *process) Exit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Exit{Entry: d.index, Code: p.cmd.ProcessState.ExitCode(), Began: p.stopping, Took: time.Since(p.stopping)}
 }
 
 // reload changes the settings and tells the process by a signal every other time;
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -8,7 +8,7 @@
 // as planned and told of changed settings by signals, backend servers crash, leave,
 // give their address to others and spoil answers, and the metadata store refuses,
 // forgets and lapses. Faults come in series and overlap. Requests under which servers end come
-// again and again.
+// again and again. A zone is evacuated and taken back, and servers come back cold.
 //
 // The daemons' clocks are not stepped: forwarding decides by monotonic time alone.
 package soak
@@ -42,6 +42,9 @@
 	FatalHold time.Duration
 	// Long is how many callers of streams that outlast most stops each entry has.
 	Long int
+	// Zones spreads the backend servers over two zones, evacuates the second one now and then, and lets servers that
+	// start during the run be cold for a while.
+	Zones bool
 	// Timed also checks the promises that bound times. They hold on a machine
 	// that is not overloaded.
 	Timed bool
--- a/proof/soak/plan.go
+++ b/proof/soak/plan.go
@@ -32,11 +32,13 @@
 	ConfigChanges Kind = "configuration changes"
 	// StoreRestored: it comes back from a copy as old as the fault is long.
 	StoreRestored Kind = "store restored"
+	// ZoneEvacuated: the second zone is to get nothing new for as long.
+	ZoneEvacuated Kind = "zone evacuated"
 )
 
 // planned says that a kind is planned work, beside which nothing may be cut.
 func (k Kind) planned() bool {
-	return k == EntryStopped || k == SettingsChanged || k == ConfigChanges || k == WorkerLeaves
+	return k == EntryStopped || k == SettingsChanged || k == ConfigChanges || k == WorkerLeaves || k == ZoneEvacuated
 }
 
 // onEntry and onWorker say what a kind strikes.
@@ -97,6 +99,7 @@
 		at += time.Duration(random.ExpFloat64() * float64(meanGap) / perGap)
 	}
 	steps = append(steps, longSteps(random, o)...)
+	steps = append(steps, evacuations(o)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -118,6 +121,29 @@
 	return steps
 }
 
+const (
+	// evacuationGap is the mean time between two evacuations, evacuationBeyond how much longer than changes take to be in
+	// force one lasts at the least.
+	evacuationGap    = 3 * time.Second
+	evacuationBeyond = 2 * time.Second
+)
+
+// evacuations draws evacuations of the second zone, one after the other. They have random numbers of their own: the faults
+// of a seed stay what they were.
+func evacuations(o Options) []Step {
+	if !o.Zones {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 2))
+	var steps []Step
+	for at := firstFault; at < o.Length; {
+		length := o.ChangeBound + slack + evacuationBeyond + time.Duration(random.Int64N(int64(longestFault)))
+		steps = append(steps, Step{At: at, For: length, Kind: ZoneEvacuated})
+		at += length + time.Duration(random.ExpFloat64()*float64(evacuationGap))
+	}
+	return steps
+}
+
 func series(random *rand.Rand, o Options, at time.Duration) []Step {
 	count := 1
 	if random.Float64() < seriesShare {
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -104,6 +104,8 @@
 	Lives map[string]*Life
 	// Exits are the ends that were asked for by a planned stop or by nothing.
 	Exits []Exit
+	// Evacuations are the spans from the store's acknowledgement that the second zone is evacuated until it is taken back.
+	Evacuations []Interval
 	// Calm is when the last fault was over.
 	Calm time.Time
 	// Reserved are the reservations that stand at the end, by server.
@@ -119,6 +121,9 @@
 type Life struct {
 	Service  string
 	From, To time.Time
+	// Zone is the server's, Cold until when it is cold.
+	Zone string
+	Cold time.Time
 }
 
 // covers says whether the server could be reached at a time.
@@ -168,6 +173,26 @@
 	r.Lives[worker] = &Life{Service: service, From: time.Now()}
 }
 
+// located notes where a backend server is and for how long it is cold.
+func (r *Records) located(worker, zone string, cold time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Lives[worker].Zone, r.Lives[worker].Cold = zone, r.Lives[worker].From.Add(cold)
+}
+
+// evacuated notes that the second zone is evacuated and returns what notes that it is about to be taken back.
+func (r *Records) evacuated() func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := len(r.Evacuations)
+	r.Evacuations = append(r.Evacuations, Interval{Kind: ZoneEvacuated, From: time.Now()})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.Evacuations[index].To = time.Now()
+	}
+}
+
 func (r *Records) gone(worker string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -49,7 +49,7 @@
 		var o Options
 		var seconds int
 		var bound, hold string
-		_, err := fmt.Sscan(lines.Text(), &o.Seed, &o.Entries, &o.Workers, &seconds, &bound, &o.Fatal, &hold)
+		_, err := fmt.Sscan(lines.Text(), &o.Seed, &o.Entries, &o.Workers, &seconds, &bound, &o.Fatal, &hold, &o.Long, &o.Zones)
 		require.NoError(t, err, lines.Text())
 		o.FatalHold, err = time.ParseDuration(hold)
 		require.NoError(t, err, lines.Text())
@@ -80,8 +80,11 @@
 	// The same, while streams outlast most stops.
 	long := runs[0]
 	long.Long = 1
-	for _, o := range append(runs, shared, fatal, held, long) {
-		t.Run(fmt.Sprint(o.Seed, " ", o.ChangeBound, " ", o.Fatal, " ", o.FatalHold, " ", o.Long), func(t *testing.T) {
+	// The same, while one of two zones is evacuated now and then and servers come back cold.
+	zoned := runs[0]
+	zoned.Zones = true
+	for _, o := range append(runs, shared, fatal, held, long, zoned) {
+		t.Run(fmt.Sprint(o.Seed, " ", o.ChangeBound, " ", o.Fatal, " ", o.FatalHold, " ", o.Long, " ", o.Zones), func(t *testing.T) {
 			t.Parallel()
 			keepsEveryPromise(t, o, binary)
 		})
--- a/proof/soak/worker.go
+++ b/proof/soak/worker.go
@@ -49,6 +49,10 @@
 	// fatalHold is for how long at the most a fatal request runs before the server ends.
 	fatalHold time.Duration
 
+	// zone is that of its servers, empty for the usual one; coldFor is for how long those are cold that start during the run.
+	zone    string
+	coldFor time.Duration
+
 	mu      sync.Mutex
 	leaving bool // the server that runs now has reported that it leaves
 	service string
@@ -76,15 +80,33 @@
 	w.Used = s.records.used
 	w.EndsUnder = func(run standin.Run) bool { return s.endUnder(w, run) }
 	w.Script = func(out http.ResponseWriter, r *http.Request) { s.serve(w, out, r) }
+	w.Zone = s.zone
+	if s.serial > 1 {
+		w.ColdFor = s.coldFor
+	}
 	s.worker, s.leaving = w, false
 	if err := s.link.Retarget(w.Address()); err != nil {
 		return err
 	}
-	s.store.Put(w.Row("ready"))
 	s.records.lives(w.ID, w.Service)
+	s.records.located(w.ID, w.Zone, w.ColdFor)
+	s.store.Put(w.Row("ready"))
+	if w.ColdFor > 0 {
+		s.ending.Go(func() { s.warm(w) })
+	}
 	return nil
 }
 
+// warm writes that a server is no longer cold, if it is still the one that runs.
+func (s *slot) warm(w *standin.Worker) {
+	time.Sleep(w.ColdFor)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.worker == w && !s.leaving {
+		s.store.Put(w.WarmRow())
+	}
+}
+
 // crash ends the server with all that it runs; its row stays for the time being.
 func (s *slot) crash() *standin.Worker {
 	w := s.current()
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -24,6 +24,8 @@
 
 	mu      sync.Mutex
 	version int
+	// evacuating says that the second zone is to get nothing new.
+	evacuating bool
 }
 
 // callersOfEntry is how many callers each entry has, beside the one that probes.
@@ -78,6 +80,9 @@
 		service = plain
 	}
 	s := &slot{index: index, link: link, store: w.store, records: w.records, fatalHold: w.options.FatalHold, service: service}
+	if w.options.Zones {
+		s.zone, s.coldFor = zones[index%len(zones)], coldTime
+	}
 	w.slots = append(w.slots, s)
 	return s.start()
 }
@@ -134,9 +139,23 @@
 // putConfiguration writes the newest version; the lock is held.
 func (w *world) putConfiguration() {
 	v := w.version
-	w.store.Put("op/config", standin.ConfigurationWith(v, []string{markerPrefix(v), markerPrefix(v - 1)}, []string{markerKey(v), markerKey(v - 1)}))
+	configuration := standin.ConfigurationWith(v, []string{markerPrefix(v), markerPrefix(v - 1)}, []string{markerKey(v), markerKey(v - 1)})
+	if w.options.Zones {
+		standin.BoundCold(configuration, coldRate)
+	}
+	w.store.Put("op/config", configuration)
 }
 
+// zones are those of the backend servers; all entries are in the first.
+var zones = []string{"here", "there"}
+
+const (
+	// coldTime is for how long a server is cold that starts during the run, coldRate how many requests a second it bears
+	// meanwhile.
+	coldTime = 2 * time.Second
+	coldRate = 8
+)
+
 // writeConfiguration writes the newest version once more.
 func (w *world) writeConfiguration() {
 	w.mu.Lock()
@@ -275,9 +294,35 @@
 		w.lapse(step.For)
 	case StoreRestored:
 		w.restore(step.For)
+	case ZoneEvacuated:
+		w.evacuate(step.For)
 	}
 }
 
+// evacuate keeps new work from the second zone for a while.
+func (w *world) evacuate(length time.Duration) {
+	w.writeEvacuation(true)
+	over := w.records.evacuated()
+	time.Sleep(length)
+	over()
+	w.writeEvacuation(false)
+}
+
+// writeEvacuation writes whether the second zone is evacuated.
+func (w *world) writeEvacuation(evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuating = evacuated
+	w.store.Evacuate(zones[1], evacuated)
+}
+
+// writeEvacuationAgain writes what the operators have said last.
+func (w *world) writeEvacuationAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Evacuate(zones[1], w.evacuating)
+}
+
 // restore brings the store back from a copy of some age. The operator and the servers write again what they
 // had written since, and rows that nobody keeps alive go again.
 func (w *world) restore(age time.Duration) {
@@ -289,6 +334,9 @@
 	w.store.Refuse(0)
 	time.Sleep(rowsBack)
 	w.writeConfiguration()
+	if w.options.Zones {
+		w.writeEvacuationAgain()
+	}
 	for _, s := range w.slots {
 		s.writeAgain()
 	}
