Unused memory lapses though its entry stands still

Cause: the entry stood still (SIGSTOP) shortly before it would have released the memory, and its last renewal had prolonged it by 3.5 s. Ruled out: a release that was lost (none was sent). Change: before the request's first event an order holds memory no longer than to a moment between the release and the end of the time allowed; the first event renews at once, for the long hold.

--- a/entry/gateway/reservation.go
+++ b/entry/gateway/reservation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusdeck/core/directory"
@@ -33,6 +34,10 @@
 // caller waits: every renewal is granted.
 func unusedLimit(idle time.Duration) time.Duration { return max(idle-releaseMargin, idle/2) }
 
+// unusedLapse is when an unused reservation lapses at the servers, by what its orders say: an entry that stands still
+// can't release it. It lies between the release and the end of the time allowed.
+func unusedLapse(idle time.Duration) time.Duration { return (unusedLimit(idle) + idle) / 2 }
+
 // reservation is the memory that one request holds on several servers. The zero
 // number of parts is a request that needs none.
 type reservation struct {
@@ -41,8 +46,13 @@
 	id      string
 	holding []held
 	hold    time.Duration
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	// lapse is when memory that is still unused ends to be held.
+	lapse time.Time
+	// inUse says that the first event has come; begun is closed then.
+	inUse  atomic.Bool
+	begun  chan struct{}
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 	// unused ends the try if the first event doesn't come; nil if nothing is held.
 	unused *time.Timer
 }
@@ -57,7 +67,9 @@
 // refuses, all is given back: nothing waits while it holds, so two requests can't
 // block each other.
 func (s *Server) reserve(ctx context.Context, id string, choice placement.Choice) (*reservation, error) {
-	r := &reservation{s: s, choice: choice, id: id, hold: min(reservationHold, s.settings.ReservationIdle.D()/2), cancel: func() {}}
+	idle := s.settings.ReservationIdle.D()
+	r := &reservation{s: s, choice: choice, id: id, hold: min(reservationHold, idle/2), lapse: time.Now().Add(unusedLapse(idle)),
+		begun: make(chan struct{}), cancel: func() {}}
 	for i, tokens := range choice.Held {
 		if tokens > 0 {
 			r.holding = append(r.holding, held{choice.At(i), tokens})
@@ -83,6 +95,10 @@
 func (r *reservation) order(ctx context.Context, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	hold := r.holdAt(time.Now())
+	if hold < time.Millisecond {
+		return nil
+	}
 	errs := make([]error, len(r.holding))
 	var wait sync.WaitGroup
 	for i, h := range r.holding {
@@ -92,7 +108,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			errs[i] = platform.Reserve(ctx, r.s.orders, h.server.Address, r.id, h.tokens, r.hold)
+			errs[i] = platform.Reserve(ctx, r.s.orders, h.server.Address, r.id, h.tokens, hold)
 			if first && errs[i] != nil {
 				r.s.serverFailed(h.server.Start())
 			}
@@ -102,6 +118,14 @@
 	return errors.Join(errs...)
 }
 
+// holdAt returns for how long an order at a time holds the memory: no longer than until the lapse before it is in use.
+func (r *reservation) holdAt(now time.Time) time.Duration {
+	if r.inUse.Load() {
+		return r.hold
+	}
+	return min(r.hold, r.lapse.Sub(now))
+}
+
 // watch calls cancel if the reservations are not used in time: the try ends, the memory is
 // given back, and another group gets the request.
 func (r *reservation) watch(cancel context.CancelFunc) {
@@ -114,20 +138,26 @@
 	})
 }
 
-// used tells that the request's first event has come.
+// used tells that the request's first event has come. The next renewal follows at once: the memory may be about to lapse.
 func (r *reservation) used() {
 	if r.unused != nil {
 		r.unused.Stop()
 	}
+	if r.inUse.CompareAndSwap(false, true) {
+		close(r.begun)
+	}
 }
 
 func (r *reservation) renew(ctx context.Context) {
 	defer r.done.Done()
 	ticker := time.NewTicker(reservationRenew)
 	defer ticker.Stop()
+	begun := r.begun
 	for {
 		select {
 		case <-ticker.C:
+		case <-begun:
+			begun = nil
 		case <-ctx.Done():
 			return
 		}
@@ -145,7 +175,9 @@
 		close(released)
 		return released
 	}
-	r.used()
+	if r.unused != nil {
+		r.unused.Stop()
+	}
 	r.cancel()
 	// A stop waits for it as for a request.
 	r.s.manager.Join()
--- a/entry/gateway/reservation_test.go
+++ b/entry/gateway/reservation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -128,6 +129,72 @@
 	w.eventually("all memory is given back", w.allReleased)
 }
 
+// An entry stands still while its request's server hangs, and can't release what it has reserved. Its orders have said
+// already when the memory lapses: it would else be kept from others beyond the time allowed without use.
+func TestUnusedMemoryLapsesWithoutARelease(t *testing.T) {
+	w := newWorld(t)
+	w.configure(nil)
+	for i := range 8 {
+		w.worker(fmt.Sprintf("i-%d", i), "engines", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	}
+	settings := w.settings()
+	settings.ReservationIdle = config.Duration(4 * time.Second)
+	s := w.start(settings)
+	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving && w.known(s) })
+	go w.call(s, http.MethodPost, "/stream/", 350_000, "prompt")
+	w.eventually("the reservation is released", func() bool {
+		return slices.ContainsFunc(w.orders(), func(o standin.Order) bool { return o.Operation == "release" })
+	})
+	reserved := 0
+	for _, worker := range w.workers {
+		holds := holdsOf(worker)
+		if len(holds) < 3 {
+			continue
+		}
+		reserved++
+		sent := time.Duration(len(holds)-1) * reservationRenew
+		require.LessOrEqual(t, sent+holds[len(holds)-1], settings.ReservationIdle.D()-orderTimeout)
+	}
+	require.NotZero(t, reserved)
+}
+
+// The first event comes shortly before unused memory lapses, and the answer takes long. The memory is renewed at once.
+func TestMemoryInUseIsHeldOn(t *testing.T) {
+	idle := 4 * time.Second
+	r := &reservation{hold: 2 * time.Second, lapse: time.Now().Add(unusedLapse(idle)), begun: make(chan struct{})}
+	late := time.Now().Add(unusedLimit(idle))
+	require.Less(t, r.holdAt(late), reservationRenew)
+	r.used()
+	require.Equal(t, r.hold, r.holdAt(late))
+	select {
+	case <-r.begun:
+	default:
+		require.Fail(t, "nothing renews it")
+	}
+}
+
+// holdsOf are the lengths that a server was asked to hold memory for, in order, by the first reservation that came.
+func holdsOf(worker *standin.Worker) []time.Duration {
+	var id string
+	var holds []time.Duration
+	for _, o := range worker.Orders() {
+		if o.Operation == "reserve" && (id == "" || id == o.Id) {
+			id = o.Id
+			holds = append(holds, time.Duration(o.HoldMs)*time.Millisecond)
+		}
+	}
+	return holds
+}
+
+// orders are those that all servers have got.
+func (w *world) orders() []standin.Order {
+	var orders []standin.Order
+	for _, worker := range w.workers {
+		orders = append(orders, worker.Orders()...)
+	}
+	return orders
+}
+
 // The last prompt of an entry that stops is answered. The entry stays until its memory is given back, which
 // would else be kept from others for as long as it is held.
 func TestAStopWaitsUntilMemoryIsGivenBack(t *testing.T) {
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -151,6 +151,8 @@
 	{"what crosses the close is not read", "entry/gateway/connections.go", "n > 0 && !c.arrives()", "n < 0 && !c.arrives()", gatewayPkg, "TestARequestThatCrosses"},
 	{"headers have an end", "entry/gateway/connections.go", " || c.use == useArriving && spent > headerTimeout", "", gatewayPkg, "TestARequestThatNeverArrives"},
 	{"a stop that begins is open", "core/lifecycle/manager.go", "	m.Join()\n	defer m.End()\n	if !m.move", "	if !m.move", "arbutusdeck/core/lifecycle", "TestAStopThatBegins"},
+	{"unused memory lapses without a release", "entry/gateway/reservation.go", "	if r.inUse.Load() {\n", "	if true {\n", gatewayPkg, "TestUnusedMemoryLapses"},
+	{"memory in use is renewed at once", "entry/gateway/reservation.go", "		close(r.begun)\n", "", gatewayPkg, "TestMemoryInUse"},
 	{"a stop waits until memory is given back", "entry/gateway/reservation.go", "	r.s.manager.Join()\n	go func() {\n		defer r.s.manager.End()\n", "	go func() {\n", gatewayPkg, "TestAStopWaitsUntilMemory"},
 	{"revisions grow over eras", "platform/store.go", "{ return era<<eraBits | revision }", "{ return 0*era | revision }", platformPkg, "TestRevisionsGrow"},
 	{"a watch from another era is none", "platform/store.go", "	if era != EraOf(after) {", "	if false {", gatewayPkg, "TestAStoreThatComesBack"},
