Give the test of callers that don't read time to open them all

Two tests failed in the last run of all checks. TestACallerThatDoesNotReadIsEndedWithItsTime: its twenty callers had a second each, and the test waited for the moment at which all are open; on a busy machine the first is over before the last begins. The bound stays three seconds past the callers' time. TestTheTextOfEveryRemovalStandsOnce: the row "a leaving server gets nothing new" named a line that became TakesWork with the evacuated zones; it names that now.

--- a/entry/gateway/held_test.go
+++ b/entry/gateway/held_test.go
@@ -34,17 +34,19 @@
 // Callers take no more of their answers, and keep their connections open. Each held its request, its answer and a
 // connection to a server for as long as it liked, also when its time had long passed.
 func TestACallerThatDoesNotReadIsEndedWithItsTime(t *testing.T) {
+	const callers, callerTime = 20, 5 * time.Second
 	w := newWorld(t)
 	w.configure(nil)
+	answer := strings.Repeat("x", 32<<20)
 	w.worker("i-1", "plain", func(out http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(out, strings.Repeat("x", 32<<20))
+		_, _ = io.WriteString(out, answer)
 	})
 	s := w.serve()
-	for range 20 {
-		w.slowly(s, head(http.MethodGet, "/read/x", time.Second, ""))
+	for range callers {
+		w.slowly(s, head(http.MethodGet, "/read/x", callerTime, ""))
 	}
-	w.eventually("all are open", func() bool { return s.manager.Open() == 20 })
-	require.Eventually(t, func() bool { return s.manager.Open() == 0 }, 4*time.Second, 10*time.Millisecond)
+	w.eventually("all are open", func() bool { return s.manager.Open() == callers })
+	require.Eventually(t, func() bool { return s.manager.Open() == 0 }, callerTime+3*time.Second, 10*time.Millisecond)
 }
 
 // A caller sends its body a byte at a time. It held its request for as long as it liked; now it is told with the end of
--- a/proof/soak/removal_test.go
+++ b/proof/soak/removal_test.go
@@ -43,7 +43,7 @@
 	{"a caller that leaves ends the work", without("entry/gateway/run.go", "context.WithCancelCause(e.r.Context())", "context.WithCancelCause(context.Background())")},
 	{"an answer or a failure in time", without("entry/gateway/run.go", "context.WithDeadline(limited, e.deadline)", "context.WithDeadline(limited, e.deadline.Add(9*time.Second))")},
 	{"a configuration is in force in time", without("entry/gateway/platformloop.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n")},
-	{"a leaving server gets nothing new", without("core/directory/directory.go", "		if known.Leaving {\n			continue\n", "		if false {\n			continue\n")},
+	{"a leaving server gets nothing new", without("core/directory/directory.go", "		if !d.TakesWork(known) {\n			continue\n", "		if false {\n			continue\n")},
 	{sentOn, without("entry/gateway/run.go", "		if cause, is := e.quarantined(now); is {\n", "		if cause, is := e.quarantined(now); is && cause.Code == \"\" {\n")},
 	{sentOn, without("entry/gateway/ended.go", "		e.s.lookLater(request, choice)\n", "")},
 	{"only a request that ends servers is refused for it", without("core/quarantine/watch.go", "	EndsToRefuse = 3\n", "	EndsToRefuse = 1\n")},
