One entry of each zone reads the store

What the second one knows all others know as well, by the first one's word.

Change: the first by rank reads; the next takes over once it is not heard, says that it has lost the store, or knows nothing younger than half of the limit, one after the other as before. Where all start at once two still read first. The pause of the second reader is gone.

Ruled out that changes come too late with it: every combination of six faults over four entries, and of two over six, at every phase keeps the limit (TestEveryEntryThatIsWellKnowsOfChangesInTime, unchanged but for the pause).

--- a/core/peering/far.go
+++ b/core/peering/far.go
@@ -11,8 +11,8 @@
 // the other zones and hand it on with their heartbeats. What crosses zones then grows with the zones, not with the entries.
 
 const (
-	// delegatesPerZone is how many entries of a zone speak with the other zones. Two, as for the readers of the store: the
-	// other one goes on while one of them is killed, suspended or cut off.
+	// delegatesPerZone is how many entries of a zone speak with the other zones. Two: the other one goes on while one of
+	// them is killed, suspended or cut off.
 	delegatesPerZone = 2
 	// farMembers is how many entries of another zone are known, so that some of them run when a part of the zone fails.
 	farMembers = 16
--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -10,7 +10,7 @@
 //	beats.go    heartbeats and lists within the zone: the zone's entries, twice a second
 //	far.go      what zones tell each other: two entries of each zone do, whatever its size
 //	ranks.go    who does something for its zone: the zone's entries, at each heartbeat
-//	readers.go  who reads the platform's store: two of each zone
+//	readers.go  who reads the platform's store: one of each zone
 //	start.go    who reads it first where all start at once: two of each zone, more with the time
 //	records.go  requests under which servers end: nothing while all know the same
 //	owners.go   servers while entries don't hear each other: entries times servers, while that lasts
--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// Only a few entries of each zone read the platform's store; they tell the others what
-// has changed. Every waiting call of every entry returns at each change of anything, so
-// that the calls grow with the square of the fleet: 68 entries made 5,000 to 6,600 calls a
-// day of 48 s. All others turn to the store themselves when nothing fresh is heard.
+// One entry of each zone reads the platform's store and tells the others what has changed. Every
+// waiting call of every entry returns at each change of anything, so that the calls would grow with
+// the square of the fleet. All others turn to the store themselves, one after the other by rank, when
+// nothing fresh is heard.
 
 const (
-	// readersPerZone is how many entries of a zone read the store. Two, so that the others
-	// hear of changes while one of them is killed, suspended or cut off.
-	readersPerZone = 2
+	// readersPerZone is how many entries of a zone read the store. The next in rank takes over as soon
+	// as the first one is not heard or says that it can't reach the store.
+	readersPerZone = 1
 	// leastReadLimit is the shortest time in which a change has to be in force everywhere
 	// that leaves room to find out that readers are gone: SilentAfter, a heartbeat, and the
 	// reads. Below it every entry reads.
@@ -23,12 +23,9 @@
 	// beatSlack is what the knowledge of a reader that is well may be older than its pause and its
 	// waiting call last, as others see it: a heartbeat's interval and its way.
 	beatSlack = HeartbeatInterval + 100*time.Millisecond
-	// pauseShare is the part of the limit of changes for which the first reader of a zone waits after
-	// an answer before it asks again, so that changes in quick succession come in one answer.
+	// pauseShare is the part of the limit of changes for which a reader waits after an answer before
+	// it asks again, so that changes in quick succession come in one answer.
 	pauseShare = 0.1
-	// standbyPauseShare is the same for the others. They are there for the time when the first one is
-	// gone, and while it is heard all know what it tells.
-	standbyPauseShare = 0.2
 )
 
 // StoreState is what an entry says of its reading of the platform's store.
@@ -59,29 +56,25 @@
 	return time.Duration(staleShare * float64(o.Limit))
 }
 
-// Wait bounds how long a reader's call waits for changes that comes after a pause: the answer shows
-// the others that the reader still reaches the store.
-func (o ReadOptions) Wait(longest, pause time.Duration) time.Duration {
-	if !o.Shares() {
-		return longest
-	}
-	return min(longest, o.staleAfter()-beatSlack-pause)
+// Pause is how long a reader waits after an answer of the store before it asks again.
+func (o ReadOptions) Pause() time.Duration {
+	return time.Duration(pauseShare * float64(o.Limit))
 }
 
-// ReadPause is how long this entry waits after an answer of the store before it asks again.
-func (g *Group) ReadPause(now time.Time) time.Duration {
-	share := pauseShare
-	if place, _ := g.place(now, canRead); g.reading.Shares() && place > 0 {
-		share = standbyPauseShare
+// Wait bounds how long a reader's call waits for changes: the answer shows the others that the
+// reader still reaches the store.
+func (o ReadOptions) Wait(longest time.Duration) time.Duration {
+	if !o.Shares() {
+		return longest
 	}
-	return time.Duration(share * float64(g.reading.Limit))
+	return min(longest, o.staleAfter()-beatSlack-o.Pause())
 }
 
 // SetReading sets this entry's own options and state.
 func (g *Group) SetReading(options ReadOptions) { g.reading = options }
 
-// ShouldRead says whether this entry has to read the store itself: it is one of the first
-// of its zone that can, or what the zone's readers know is too old. All entries compute the
+// ShouldRead says whether this entry has to read the store itself: it is the first of its zone
+// that can, or what the zone's readers know is too old. All entries compute the
 // same ranks from whom they hear; where they differ, more than needed read for a while.
 func (g *Group) ShouldRead(now time.Time, self StoreState) bool {
 	if !g.reading.Shares() {
--- a/core/peering/start.go
+++ b/core/peering/start.go
@@ -11,6 +11,8 @@
 // most of them away, or readers that die, delay a zone by a few turns whatever its size.
 
 const (
+	// startReaders is how many entries of a zone read the store first, so that a start does not wait for one that dies.
+	startReaders = 2
 	// startWait is how long a starting entry waits to hear an entry that is up to date before any reads the store: some ten
 	// ways there and back between zones, and the time that a small host takes to answer.
 	startWait = 50 * time.Millisecond
@@ -42,7 +44,7 @@
 		quiet = now.Sub(g.heardFirst) - aloneWait
 	}
 	waited := max(min(quiet, since-startWait), since-quietLimit)
-	return waited >= 0 && place < readersPerZone<<min(waited/readTurn, maxTurns)
+	return waited >= 0 && place < startReaders<<min(waited/readTurn, maxTurns)
 }
 
 // Lonely says whether this entry has heard nobody yet.
@@ -81,9 +83,9 @@
 // sourcePlace returns the place of the entry from which one at a place takes over the list, and how many hand it on before;
 // 0 for those that read the store.
 func sourcePlace(place int) (source, level int) {
-	source = (place - readersPerZone) / takersPerSource
-	for ; place >= readersPerZone; level++ {
-		place = (place - readersPerZone) / takersPerSource
+	source = (place - startReaders) / takersPerSource
+	for ; place >= startReaders; level++ {
+		place = (place - startReaders) / takersPerSource
 	}
 	return source, level
 }
--- a/entry/gateway/platformloop.go
+++ b/entry/gateway/platformloop.go
@@ -76,15 +76,15 @@
 	}
 	for s.tomb.Alive() && s.readsStore(time.Now()) {
 		revision := s.position()
-		pause := s.peers.readPause(time.Now())
-		changes, err := s.store.Watch(ctx, revision, s.readOptions.Load().Wait(watchWait, pause))
+		options := s.readOptions.Load()
+		changes, err := s.store.Watch(ctx, revision, options.Wait(watchWait))
 		if err != nil {
 			return err
 		}
 		s.reached()
 		s.takeWatched(revision, changes)
 		s.becomeReady()
-		if !s.sleep(pause) {
+		if !s.sleep(options.Pause()) {
 			return nil
 		}
 	}
--- a/entry/gateway/readers.go
+++ b/entry/gateway/readers.go
@@ -92,13 +92,6 @@
 	return p.group.ShouldRead(now, self)
 }
 
-// readPause is how long this entry waits after an answer of the store before it asks again.
-func (p *peerExchange) readPause(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.group.ReadPause(now)
-}
-
 // fresh says whether another entry of the zone knows what the store holds.
 func (p *peerExchange) fresh(now time.Time) bool {
 	p.mu.Lock()
