--- a/proof/processes/forward_test.go
+++ b/proof/processes/forward_test.go
@@ -1,6 +1,7 @@
 package processes
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -32,6 +33,8 @@
 type forwardingSpec struct {
 	entries, processors int
 	stopLimit           time.Duration
+	// memoryMB is what a process may have, in MB; 0 for the usual 200. bodyBytes bounds a request's body; 0 for the usual bound.
+	memoryMB, bodyBytes int64
 }
 
 var forwardingHosts atomic.Int32
@@ -47,7 +50,11 @@
 	f := &forwarding{site: &site{t: t, folder: t.TempDir(), daemons: map[string]*daemon{}, client: &http.Client{}}, store: standin.NewStore()}
 	t.Cleanup(f.store.Close)
 	t.Cleanup(f.store.CloseClientConnections)
-	f.store.Put("op/config", standin.Configuration(1))
+	configuration := standin.Configuration(1)
+	if spec.bodyBytes > 0 {
+		configuration["Limits"].(map[string]any)["MaxBodyBytes"] = spec.bodyBytes
+	}
+	f.store.Put("op/config", configuration)
 	for _, worker := range workers {
 		f.store.Put(worker.Row("ready"))
 	}
@@ -63,7 +70,7 @@
 func (f *forwarding) startEntry(index int, spec forwardingSpec) {
 	host := forwardingHost()
 	settings := gateway.Settings{Name: fmt.Sprintf("forward-%d", index), Zone: "here", ListenAddress: host + ":7801", ReadyAddress: host + ":7802",
-		PeerAddress: host + ":7803", MetricsAddress: host + ":7804", Store: f.store.Address(), MemoryMB: 200, Processors: spec.processors,
+		PeerAddress: host + ":7803", MetricsAddress: host + ":7804", Store: f.store.Address(), MemoryMB: cmp.Or(spec.memoryMB, 200), Processors: spec.processors,
 		StopLimit: config.Duration(spec.stopLimit), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: config.Duration(10 * time.Second),
 		ReservationIdle: config.Duration(9 * time.Second)}
 	if index > 0 {
