Move what values were chosen by out of the code

Comments of placing, of the division by zone, of news and of requests that end servers told the figures of runs that spoke for a value. Comments and pages only.

--- a/core/parts/division.go
+++ b/core/parts/division.go
@@ -3,23 +3,16 @@
 //
 // The load it answers: many entries on small hosts. Where all entries choose among all
 // servers, each of them has to hear of every request of all others, and all take the same
-// server for the best one within the time that news take. With 68 entries and 135 servers,
-// 14 in 100 short prompts were late at the entries on small hosts, which took in some 1,800
-// messages a second. Entries that keep to the 27 servers of their zone hear a fifth of that,
-// and a fifth of them choose at once: of all short prompts 6 to 9 in 100 were late.
+// server for the best one within the time that news take. Entries that keep to the servers of
+// their zone hear only its entries, and only these choose at once.
 package parts
 
 const (
 	// fewEntries is the number of entries at which a zone is a part by itself from
 	// mostNeeded servers on; the more entries there are, the more each of them saves, and the
 	// fewer servers suffice, down to leastNeeded. Half as many again as read one prompt at
-	// the most are mostNeeded, so that a very long prompt leaves some to the others. 28
-	// entries earned 0.011 to 0.017 less of the worth in parts of 18 servers than without
-	// parts, and the same in parts of 26; 68 entries earned 0.07 to 0.1 more in parts of 27
-	// (one run each). Parts of two and three zones earned 0.2 and 0.09 less than single
-	// zones: 41 entries tell each other too much for a seventh of a core. 68 entries that had
-	// started anew beside 22 servers a zone and shared all of them lacked two requests or more
-	// in 8 of 100 choices of the day, in 5 where they were divided.
+	// the most are mostNeeded, so that a very long prompt leaves some to the others. No part
+	// is larger than a zone: what its entries tell each other would fill small hosts.
 	fewEntries  = 40
 	mostNeeded  = 24
 	leastNeeded = 12
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -38,14 +38,12 @@
 }
 
 // joinLoss is the cost of writing the answer here: full slots, the first answer at a server that
-// long prompts could be read on, and the gain of packing it beside answers that bear pauses alike. Only answers that are being written
-// draw others: they show that the server works, while one that has just been chosen may be
-// full of work that is not in the book. Counting all served 0.712 of the score on drawn
-// deployments, counting these 0.736 (virtual time, 24 days). Packed answers leave whole
-// servers to the reading of long prompts. The gain shrinks with the part of the target that
-// the choice would use up: when many callers come back at once, packing would put their
-// reads one behind the other on one server while others are idle. On drawn deployments
-// (virtual time, 24 days) 0.714 of the score was served with it, 0.680 without.
+// long prompts could be read on, and the gain of packing it beside answers that bear pauses alike.
+// Only answers that are being written draw others: they show that the server works, while one that
+// has just been chosen may be full of work that is not in the book. Packed answers leave whole servers
+// to the reading of long prompts. The gain shrinks with the part of the target that the choice would
+// use up: when many callers come back at once, packing would put their reads one behind the other on
+// one server while others are idle.
 func (b *Book) joinLoss(c *candidate, q Query) float64 {
 	slots := float64(q.Engine.Slots)
 	share := float64(c.requests) / slots
@@ -146,8 +144,7 @@
 	return 1 / (1 + math.Exp(-(predicted.Seconds()-limit.Seconds())/(lateSlope*limit.Seconds())))
 }
 
-// lateSlope is the width of the slope as a share of the limit. 0.06 served 0.804 of the
-// worth, 0.1 and 0.03 served 0.798 (virtual time, 100 days at three loads).
+// lateSlope is the width of the slope as a share of the limit.
 const lateSlope = 0.06
 
 // crowding is what a read is expected to cost the requests that come next: as long as
@@ -163,5 +160,5 @@
 }
 
 // busyMs is the reading, in milliseconds, that makes a server one that next requests
-// avoid: two thirds of a short prompt's target. 100 and 400 served about as much.
+// avoid.
 const busyMs = 200
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -8,21 +8,17 @@
 	// Zone is the entry's availability zone.
 	Zone string
 	// TokensPerValue is how many prompt tokens double a short request's value.
-	// What a caller loses with a request grows with the work put into it. The
-	// users rate a prompt of 154,000 tokens sixteen times one of 5,000; 5,000 and
-	// 12,000 in place of 8,000 served about as much.
+	// What a caller loses with a request grows with the work put into it.
 	TokensPerValue float64
-	// LateLoss is the share of a request's value that is lost when it is late:
-	// the users rate a late answer at a quarter of one in time.
+	// LateLoss is the share of a request's value that is lost when it is late.
 	LateLoss float64
-	// ZoneLoss is the cost of leaving the zone, in short requests: some 2 ms, and
-	// the bytes, which cost the users about a hundredth of a short answer.
+	// ZoneLoss is the cost of leaving the zone, in short requests: the longer way and
+	// the bytes.
 	ZoneLoss float64
 	// PackGain is the gain from each answer at a server that bears pauses alike,
 	// as a share of the request's value, until PackShare of the server's slots is
-	// taken, at the start; the share is learned from then on. Packed answers leave whole servers to the reading of long prompts,
-	// beside which they would pause for too long. Served at the usual load
-	// (virtual time, 100 days): 0.828 with it, 0.789 without.
+	// taken, at the start; the share is learned from then on. Packed answers leave whole
+	// servers to the reading of long prompts, beside which they would pause for too long.
 	PackGain  float64
 	PackShare float64
 	// OpenLoss is the cost of the first answer of its kind at a server, as a share of the request's
@@ -33,50 +29,39 @@
 	// shortest kinds.
 	ShortTokens int64
 	// GapMargin is kept free of the expected pause between events, for the
-	// network and for what this entry has not heard of yet. 10 ms served 0.2 in
-	// 100 more than 25 ms.
+	// network and for what this entry has not heard of yet.
 	GapMargin time.Duration
 	// TargetShare is the share of the target for the first event at which a
-	// prediction counts as half late. 1 served 1 in 100 more than 0.85.
+	// prediction counts as half late.
 	TargetShare float64
 	// MemoryShare is the share of an engine's memory that prompts may fill. The
 	// rest is for the answers' growth and for what other entries send at the same
-	// moment. 0.85 served 0.6 in 100 more than 0.9, and 2 in 100 more than 1.
+	// moment.
 	MemoryShare float64
 	// PartLoss is the cost of one more part: each is a server that can fail the
 	// whole, and a read that goes before those that wait there.
 	PartLoss float64
 	// UsualParts bounds the servers that read one prompt, MaxParts those of a
-	// prompt that would not be read in time by so few. Eight in place of sixteen
-	// raised the worth served from 0.653 to 0.663 at 1.2 times the usual load
-	// (virtual time, 100 days).
+	// prompt that would not be read in time by so few.
 	UsualParts, MaxParts int
 	// ShedShare is the share of the target beyond which the predicted first
-	// event of a short prompt that has to wait for a slot gets it refused. Of a
-	// burst on too few servers 1.5 served 0.59 of the worth in time, none 0.56.
+	// event of a short prompt that has to wait for a slot gets it refused.
 	ShedShare float64
 	// WaitLateShare is how much others may lose by a prompt that is late anyway,
-	// as a share of its value; while they would lose more it waits. Without the
-	// wait 0.802 was served at the usual load, with it 0.828.
+	// as a share of its value; while they would lose more it waits.
 	WaitLateShare float64
 	// CrowdShare is how much others may lose by a long prompt that is late and can wait no
 	// longer, as a share of what its late answer is worth; beyond it the prompt is refused.
-	// Served on hard days (virtual time, 5 kinds) 0.741 with it, 0.732 with 1, 0.713
-	// with 3, 0.679 without. It is well below 1 because the loss of others is what the
-	// book knows of, and the next ones come on top.
+	// It is well below 1 because the loss of others is what the book knows of, and the next
+	// ones come on top.
 	CrowdShare float64
 	// WorkPrice is what a second of reading costs the requests that come next, in
 	// short requests, while all servers are busy reading; in proportion while a
 	// part of them is. Without it long prompts fill all servers when they come
-	// too fast, and the short ones after them are late. Served with it 0.811, with
-	// 6 0.798, without 0.788 (virtual time, mean of six loads and sizes); at 1.2
-	// times the usual load 0.702 and 0.640.
+	// too fast, and the short ones after them are late.
 	WorkPrice float64
 	// UnheardLoss is the share of a request's value that is believed lost at a
-	// server that an entry may use of which nothing is heard. One of five entries
-	// cut off served 0.635 of a day's worth without it, 0.712 with 0.15, 0.797 with
-	// 0.4; one that was dead and taken for cut off 0.839, 0.815 and 0.773 (virtual
-	// time).
+	// server that an entry may use of which nothing is heard.
 	UnheardLoss float64
 	// NetworkTime is a connection's opening and the way there and back.
 	NetworkTime time.Duration
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -12,9 +12,7 @@
 // is time: by the book the oldest read is long done and its first event has not come.
 
 // stallGrace is what a first event may be late, beyond two passes and the network, before
-// the server counts as stalled. Of 5,084 undivided short prompts on three days of the users'
-// smaller deployments 0.89 to 0.93 had their first event within 60 ms of the prediction; on a
-// grown one, whose entries are slower, 0.76 of 6,208.
+// the server counts as stalled.
 const stallGrace = 60 * time.Millisecond
 
 // stallFactor is how much longer than it has lasted a stall is expected to last in all: of
--- a/core/quarantine/watch.go
+++ b/core/quarantine/watch.go
@@ -21,17 +21,16 @@
 	// on the users' deployments: two in an attempt, and its caller repeats it once.
 	EndsInAnyCase = 5
 	// BeginTime is for how long after its first event a request has just begun. A server that
-	// a request ends does so as it begins to run it: 20 to 110 ms later where this was seen,
-	// before its first event. It is longer by much, since events are late on a busy host, and
-	// short beside the two to three seconds that answers last.
+	// a request ends does so as it begins to run it, before its first event. It is longer by
+	// much, since events are late on a busy host, and short beside the time that answers last.
 	BeginTime = time.Second
 	// Term is how long a request is remembered after the last end. It bounds what such a
 	// request may do to three servers an hour, and a request that servers bear again after
 	// a release is served within the hour.
 	Term = time.Hour
 	// MaxRecords bounds the requests that are remembered, and what an entry is told that has
-	// started, up to 76 bytes each. Where half of a fleet of 135 servers fails at once, some three
-	// requests have just begun at each.
+	// started, up to 76 bytes each. Where half of a fleet fails at once, a few requests have just
+	// begun at each server.
 	MaxRecords = 256
 )
 
@@ -138,8 +137,7 @@
 	return max(Term-now.Sub(r.changed), 0)
 }
 
-// suspectedEnds is from how many ends on a request is a suspect, which is kept apart from others. Of
-// 2,677 sound requests that were at an end on days of crashes in a row seven were at a second one.
+// suspectedEnds is from how many ends on a request is a suspect, which is kept apart from others.
 const suspectedEnds = 2
 
 // Suspected says whether a request may well be the reason why servers have ended.
--- a/entry/gateway/news.go
+++ b/entry/gateway/news.go
@@ -12,8 +12,7 @@
 const (
 	// flushDelay gathers first events and ends into one datagram. A begin goes out
 	// at once, with what was gathered: a choice that another entry makes before it
-	// hears of it may take the same server. News 3 ms earlier served 0.007 more of
-	// the worth (virtual time, mean of both sizes).
+	// hears of it may take the same server.
 	flushDelay = 4 * time.Millisecond
 	// maxDispatches bounds the dispatches of a message so that it stays within
 	// one packet of a usual link (1,500 bytes); one with sixteen helpers takes
