--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -283,7 +283,7 @@
 	return d.byZone[zoneOf{service, zone}]
 }
 
-// Zones returns how many servers of a service each zone has, those of evacuated zones and without those that leave.
+// Zones returns how many servers of a service each zone has. Those of evacuated zones count, those that leave do not.
 func (d *Directory) Zones(service string) map[string]int {
 	zones := map[string]int{}
 	for _, known := range d.entries {
