Record and log the request limits that servers state

Server-Limit is parsed in platform/ (a decimal number; NaN, infinity and negative numbers count as not given), kept by incarnation in core/ratelimit, and each change is logged with server, service and rate; servers.limited counts the servers. A limit ends with a signed response without it to a request that was sent after the limit was last stated. A response 421 counts for the server that it names, not for the one that the request was meant for.

No decision changes.

--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -100,12 +100,13 @@
 	defer e.s.trackEnd(dispatched)
 	request := e.upstreamRequest(attemptCtx, choice, reservation)
 	e.phase.set(phaseSent)
+	sentAt := time.Now()
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
 		return e.noResponse(ctx, server.IncarnationID(), err)
 	}
 	defer response.Body.Close()
-	return e.handleResponse(ctx, choice, &firstEventWait{reservation, stall, dispatched}, response)
+	return e.handleResponse(ctx, choice, sentAt, &firstEventWait{reservation, stall, dispatched}, response)
 }
 
 // waitForRelease waits until the memory of a failed attempt is free. The next attempt may need it
@@ -246,7 +247,7 @@
 }
 
 // handleResponse validates the response headers and relays the response.
-func (e *exchange) handleResponse(ctx context.Context, choice placement.Choice, progress *firstEventWait, response *http.Response) attemptResult {
+func (e *exchange) handleResponse(ctx context.Context, choice placement.Choice, sentAt time.Time, progress *firstEventWait, response *http.Response) attemptResult {
 	server := choice.Server.IncarnationID()
 	e.forward.RecordSend()
 	parsed := platform.ParseResponse(response.StatusCode, response.Header)
@@ -254,6 +255,9 @@
 		e.s.recordFailure(server)
 		return e.incompleteResult(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: "the answer belongs to another request"})
 	}
+	if responder, ok := e.s.responder(choice.Server, parsed); ok {
+		e.s.recordLimit(time.Now(), responder, sentAt, parsed)
+	}
 	if parsed.NotExecuted {
 		fault := e.s.reportNotExecuted(choice, parsed)
 		return e.incompleteResult(ctx, fault, execution.ForwardNotExecuted, execution.Refusal{Code: execution.CodeQueueFull,
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -31,6 +31,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
 	"arbutusdeck/core/quarantine"
+	"arbutusdeck/core/ratelimit"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/core/zonerouting"
 	"arbutusdeck/platform"
@@ -98,6 +99,8 @@
 	loadTable    *placement.LoadTable
 	// cold limits the request rate of servers that are still cold.
 	cold *coldstart.Limiter
+	// limiter tracks the servers that state a limit of their request rate.
+	limiter *ratelimit.Limiter
 	// lastServerAddedAt is the time at which a change, as opposed to a full read, last added a
 	// server to the list.
 	lastServerAddedAt time.Time
@@ -124,7 +127,7 @@
 	s := &Server{
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(placement.DefaultOptions(settings.Zone)),
-		cold: coldstart.NewLimiter(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
+		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
 		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
@@ -140,6 +143,7 @@
 	s.peers = newPeerTransport(s, group)
 	s.setReadOptions(settings.readOptions())
 	s.gauge("quarantine.requests", func() int { return len(s.tracker.AllRefused(time.Now())) })
+	s.gauge("servers.limited", s.limiter.Count)
 	s.registerEvacuationGauges()
 	return s
 }
@@ -292,6 +296,7 @@
 		s.mu.Lock()
 		s.loadTable.Expire(now)
 		s.cold.Expire(now)
+		s.limiter.Expire(now, s.directory.IsCurrent)
 		s.shareBudgets()
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
