--- /dev/null
+++ b/entry/gateway/ratelimit_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/platform/standin"
+)
+
+const (
+	// limitWindow is the time in which a limited server may get 1.5 times what its limit allows, and limitExtra
+	// requests more.
+	limitWindow = 4 * time.Second
+	limitExtra  = 5
+	// limitNotice is the time after the first statement of a limit from which it has to be kept.
+	limitNotice = 3 * time.Second
+)
+
+// requireWithinLimit checks the arrivals at a server that states a limit.
+func requireWithinLimit(t *testing.T, arrivals []time.Time, perSecond float64) {
+	allowed := 1.5*perSecond*limitWindow.Seconds() + limitExtra
+	for i, first := range arrivals {
+		count := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				count++
+			}
+		}
+		require.LessOrEqual(t, float64(count), allowed, "in %s from arrival %d of %d", limitWindow, i, len(arrivals))
+	}
+}
+
+// arrivalLog records the arrivals at a server, including those that it does not run.
+type arrivalLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivalLog) add(standin.Run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, time.Now())
+}
+
+// since returns the arrivals from a time on.
+func (a *arrivalLog) since(from time.Time) []time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var times []time.Time
+	for _, at := range a.times {
+		if at.After(from) {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
+// serveMany runs entries that know each other.
+func (w *testbed) serveMany(count int) []*Server {
+	entries := []*Server{w.serve()}
+	for range count - 1 {
+		s := w.start(w.newSettings(entries[0].settings.PeerAddress))
+		w.eventually("the entry serves", func() bool { return s.manager.State() == lifecycle.Serving && w.isCurrent(s) })
+		entries = append(entries, s)
+	}
+	w.eventually("all know each other", func() bool {
+		for _, s := range entries {
+			s.peers.mu.Lock()
+			alive := len(s.peers.group.Alive(time.Now()))
+			s.peers.mu.Unlock()
+			if alive != count-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return entries
+}
+
+// callAll sends a request to each entry in turn, every few milliseconds for a while, and counts the statuses.
+func (w *testbed) callAll(entries []*Server, method, path string, tokens int, length time.Duration) map[int]int {
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	statuses := map[int]int{}
+	for began := time.Now(); time.Since(began) < length; {
+		for _, s := range entries {
+			done.Go(func() {
+				status := w.call(s, method, path, tokens, "x").status
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	done.Wait()
+	return statuses
+}
+
+// A server that stated a limit for all entries together went on to get its full share of the requests.
+func TestEntriesTogetherKeepToAServersRequestLimit(t *testing.T) {
+	events := func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 2, 0) }
+	cases := []struct {
+		name, service, method, path string
+		tokens                      int
+		// limitedScript and otherScript are those of the limited server and of the other one.
+		limitedScript, otherScript http.HandlerFunc
+	}{
+		{"plain", "plain", http.MethodPost, "/order/x", 0, nil, nil},
+		{"stream", "engines", http.MethodPost, "/stream/x", 2000, events, events},
+		{"retry", "plain", http.MethodGet, "/read/x", 0, nil, standin.NotExecuted},
+		{"resumed", "engines", http.MethodPost, "/stream/x", 2000, events, standin.BreakFirstStream(4, 1)},
+		{"split", "engines", http.MethodPost, "/stream/x", 200_000, events, events},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestbed(t)
+			w.configure(nil)
+			limited, arrivals := standin.NewWorker("i-limited", c.service), &arrivalLog{}
+			limited.OnRequest, limited.Script = arrivals.add, c.limitedScript
+			limited.StateLimit(1)
+			w.addRow(limited)
+			w.worker("i-other", c.service, c.otherScript)
+			entries := w.serveMany(3)
+			statuses := w.callAll(entries, c.method, c.path, c.tokens, limitNotice+limitWindow+2*time.Second)
+			all := arrivals.since(time.Time{})
+			require.NotEmpty(t, all)
+			kept := arrivals.since(all[0].Add(limitNotice))
+			require.NotEmpty(t, kept, "the server gets what it takes")
+			requireWithinLimit(t, kept, 1)
+			require.NotZero(t, statuses[http.StatusOK], fmt.Sprint(statuses))
+		})
+	}
+}
