--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -255,9 +255,7 @@
 		e.s.recordFailure(server)
 		return e.incompleteResult(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeConnectionLost, Detail: "the answer belongs to another request"})
 	}
-	if responder, ok := e.s.responder(choice.Server, parsed); ok {
-		e.s.recordLimit(time.Now(), responder, sentAt, parsed)
-	}
+	e.s.recordStatements(time.Now(), choice.Server, sentAt, parsed)
 	if parsed.NotExecuted {
 		fault := e.s.reportNotExecuted(choice, parsed)
 		return e.incompleteResult(ctx, fault, execution.ForwardNotExecuted, execution.Refusal{Code: execution.CodeQueueFull,
--- a/entry/gateway/ratelimit.go
+++ b/entry/gateway/ratelimit.go
@@ -32,17 +32,6 @@
 	}
 }
 
-// responder returns the server that a response is from: the one to which the request was sent, or
-// the one that has taken over its address and says so. It returns false if that one is not known.
-func (s *Server) responder(server directory.Server, response platform.Response) (directory.Server, bool) {
-	if !response.Misdirected {
-		return server, true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.directory.Get(response.Instance)
-}
-
 // limitPauses adds the servers that may get no request from this entry now because of their limit to
 // a query; the caller holds the lock.
 func (s *Server) limitPauses(now time.Time, q *placement.Query) {
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -4,7 +4,7 @@
 
 // limitMutations remove what keeps the entries together within the request limits that servers state.
 var limitMutations = []mutation{
-	{"a limit in a response is recorded", "entry/gateway/attempt.go", "		e.s.recordLimit(time.Now(), responder, sentAt, parsed)\n", "		_ = responder\n", gatewayPkg, "TestRequestsBeyondALimit"},
+	{"a limit in a response is recorded", "entry/gateway/statements.go", "	s.recordLimit(now, server, sentAt, response)\n", "", gatewayPkg, "TestRequestsBeyondALimit"},
 	{"a limited server is paused between requests", "entry/gateway/restrictions.go", "	s.limitPauses(now, &q)\n", "", gatewayPkg, "TestRequestsBeyondALimit"},
 	{"a request counts against the limit of its server", "entry/gateway/restrictions.go", "		s.limiter.RecordSend(now, choice.ServerAt(i).IncarnationID())\n", "		_ = i\n", gatewayPkg, "TestEntriesTogetherKeepToAServersRequestLimit"},
 	{"a limit is divided among the entries", "core/ratelimit/limiter.go", "float64(time.Second) * float64(senders)", "float64(time.Second) * float64(min(senders, 1))", ratelimitPkg, "TestEntriesTogether"},
@@ -19,7 +19,7 @@
 	{"limits are told to other zones", "entry/gateway/ratelimit.go", "		ref.remoteZones = p.group.RemoteZones()\n", "", gatewayPkg, "TestALimitAndItsEndReachOtherZones"},
 	{"a limit of another zone's server is not shared", "core/peering/shares.go", "	if g.scope == scopeZone && zone != \"\" && zone != g.zone {", "	if false {", peeringPkg, "TestOnlyEntriesOfAServersZone"},
 	{"entries that are gone leave their shares", "core/peering/shares.go", " || !m.mayRun(now)", "", peeringPkg, "TestAnEntryThatIsGone"},
-	{"a limit in a misdirected response counts for its sender", "entry/gateway/ratelimit.go", "	if !response.Misdirected {", "	if true {", gatewayPkg, "TestALimitInAMisdirectedResponse"},
+	{"a limit in a misdirected response counts for its sender", "entry/gateway/statements.go", "	if !response.Misdirected {", "	if true {", gatewayPkg, "TestALimitInAMisdirectedResponse"},
 	{"a request waits for a paused server only if it can be in time", "core/placement/admit.go", "	case wait > min(q.Target, q.Remaining) || ", "	case ", "arbutusdeck/core/placement", "TestARequestWaitsForAPaused"},
 	{"an invalid limit of another entry is rejected", "core/peering/codec.go", "		if err := statement.Check(); err != nil {", "		if err := error(nil); err != nil {", peeringPkg, "TestAnInvalidMessage"},
 }
