--- /dev/null
+++ b/entry/gateway/statements_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusdeck/platform/standin"
+)
+
+// requestPath is a way on which a request comes to a server.
+type requestPath struct {
+	name, service, method, path string
+	tokens                      int
+	// script is that of the server in question, otherScript that of the others.
+	script, otherScript http.HandlerFunc
+	// inOrders is set if the server states something in its responses to orders only.
+	inOrders bool
+	// othersServe is set if the others serve all requests.
+	othersServe bool
+}
+
+func requestPaths() []requestPath {
+	events := func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 2, 0) }
+	slow := func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }
+	return []requestPath{
+		{"plain", "plain", http.MethodPost, "/order/x", 0, nil, slow, false, true},
+		{"stream", "engines", http.MethodPost, "/stream/x", 2000, events, events, false, true},
+		{"retry", "plain", http.MethodGet, "/read/x", 0, nil, standin.NotExecuted, false, false},
+		{"resumed", "engines", http.MethodPost, "/stream/x", 2000, events, standin.BreakFirstStream(4, 1), false, true},
+		{"split", "engines", http.MethodPost, "/stream/x", 200_000, events, events, false, true},
+		{"reserved", "engines", http.MethodPost, "/stream/x", 400_000, events, events, true, true},
+	}
+}
+
+// statingServer is a server whose statements are tested, beside others of its service.
+type statingServer struct {
+	*standin.Worker
+	arrivals *arrivalLog
+}
+
+// work returns the number of requests and reservations that have come to the server.
+func (s *statingServer) work() int {
+	count := len(s.arrivals.since(time.Time{}))
+	for _, order := range s.Orders() {
+		if order.Operation == "reserve" {
+			count++
+		}
+	}
+	return count
+}
+
+// addStating adds the server in question and two others.
+func (w *testbed) addStating(p requestPath) *statingServer {
+	server := &statingServer{standin.NewWorker("i-stating", p.service), &arrivalLog{}}
+	server.OnRequest, server.Script = server.arrivals.add, p.script
+	server.StatesInOrdersOnly.Store(p.inOrders)
+	w.addRow(server.Worker)
+	w.worker("i-other-1", p.service, p.otherScript)
+	w.worker("i-other-2", p.service, p.otherScript)
+	return server
+}
+
+// callUntilHeard sends requests until a server has got one.
+func (w *testbed) callUntilHeard(s *Server, p requestPath, server *statingServer) {
+	w.eventually("the server gets a request", func() bool {
+		w.call(s, p.method, p.path, p.tokens, "x")
+		return server.work() > 0
+	})
+}
+
+// The store was down while a server left. It said so in each of its responses, and went on to get requests until the
+// store was back.
+func TestAServerThatStatesItIsLeavingGetsNoNewRequests(t *testing.T) {
+	for _, p := range requestPaths() {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestbed(t)
+			w.configure(nil)
+			leaving := w.addStating(p)
+			leaving.StateLeaving()
+			s := w.serve()
+			w.callUntilHeard(s, p, leaving)
+			before := leaving.work()
+			for range 10 {
+				w.eventually("all memory is released", w.allReleased)
+				status := w.call(s, p.method, p.path, p.tokens, "x").status
+				require.Equal(t, p.othersServe, status == http.StatusOK)
+			}
+			require.Equal(t, before, leaving.work())
+		})
+	}
+}
