--- a/entry/gateway/statements_test.go
+++ b/entry/gateway/statements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,37 @@
 		})
 	}
 }
+
+// A server that had turned an entry away and asked for a pause got its next request half a second later.
+func TestAServerThatAsksForAPauseGetsNoRequestUntilItIsOver(t *testing.T) {
+	const pause = 2 * time.Second
+	for _, p := range requestPaths() {
+		if p.inOrders {
+			continue
+		}
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestbed(t)
+			w.configure(nil)
+			pausing := w.addStating(p)
+			pausing.RefuseFor(pause.Seconds())
+			s := w.serve()
+			w.callUntilHeard(s, p, pausing)
+			first := pausing.arrivals.since(time.Time{})[0]
+			var calls sync.WaitGroup
+			for time.Since(first) < pause-100*time.Millisecond {
+				calls.Go(func() { w.call(s, p.method, p.path, p.tokens, "x") })
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, 1, pausing.work())
+			calls.Wait()
+			for _, other := range w.workers[1:] {
+				other.Refuse.Store(true)
+			}
+			w.eventually("it gets requests afterwards", func() bool {
+				w.call(s, p.method, p.path, p.tokens, "x")
+				return pausing.work() > 1
+			})
+		})
+	}
+}
