Orders name the server they are meant for, and what it states in its response is recorded

Orders carry Expect-Instance, and their responses pass the same function as those to requests. Tests: TestMemoryIsNotReservedAtTheNextServerOfAnAddress and TestStatementsInResponsesToOrdersAreRecorded, both red without (two rows of the safeguards).

--- a/entry/gateway/reservation.go
+++ b/entry/gateway/reservation.go
@@ -110,7 +110,9 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			errs[i] = platform.Reserve(ctx, r.s.orderClient, part.server.Address, r.id, part.tokens, ttl)
+			errs[i] = r.s.order(part.server, func(target platform.OrderTarget) (platform.Response, error) {
+				return platform.Reserve(ctx, r.s.orderClient, target, r.id, part.tokens, ttl)
+			})
 			if first && errs[i] != nil {
 				r.s.recordFailure(part.server.IncarnationID())
 			}
@@ -120,6 +122,14 @@
 	return errors.Join(errs...)
 }
 
+// order sends an order to a server and records what the server states in its response.
+func (s *Server) order(server directory.Server, send func(platform.OrderTarget) (platform.Response, error)) error {
+	sentAt := time.Now()
+	response, err := send(platform.OrderTarget{Address: server.Address, Instance: server.ID})
+	s.recordStatements(time.Now(), server, sentAt, response)
+	return err
+}
+
 // ttlAt returns the TTL of an order sent at a time; it does not exceed unusedDeadline before the
 // memory is in use.
 func (r *reservation) ttlAt(now time.Time) time.Duration {
@@ -207,7 +217,9 @@
 func (r *reservation) releaseAt(server directory.Server) {
 	for range releaseAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		err := platform.Release(ctx, r.s.orderClient, server.Address, r.id)
+		err := r.s.order(server, func(target platform.OrderTarget) (platform.Response, error) {
+			return platform.Release(ctx, r.s.orderClient, target, r.id)
+		})
 		cancel()
 		if err == nil {
 			return
--- a/entry/gateway/reservation_test.go
+++ b/entry/gateway/reservation_test.go
@@ -13,6 +13,7 @@
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/placement"
 	"arbutusdeck/platform/standin"
 )
 
@@ -213,3 +214,33 @@
 	w.eventually("nothing is open", func() bool { return s.manager.Open() == 0 })
 	require.True(t, w.allReleased())
 }
+
+// Memory for a prompt was reserved at a server that had taken over the address of the one that was chosen, and stayed
+// reserved there although no request used it.
+func TestMemoryIsNotReservedAtTheNextServerOfAnAddress(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	worker := standin.NewWorker("i-new", "engines")
+	t.Cleanup(worker.Close)
+	_, row := worker.Row("ready")
+	w.store.Put(standin.RowKey("i-gone"), row)
+	s := w.start(w.newSettings())
+	w.eventually("the entry is ready", func() bool { return s.manager.State() == lifecycle.Serving })
+	server := w.availableServers(s, "engines")[0]
+	_, err := s.reserve(t.Context(), "r-1", placement.Choice{Server: server, Reserved: []int64{1000}})
+	require.Error(t, err)
+	require.Empty(t, worker.Reserved())
+}
+
+// A server that states something in its responses to orders only was not heard.
+func TestStatementsInResponsesToOrdersAreRecorded(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	worker := w.worker("i-1", "engines", nil)
+	worker.StateLimit(2)
+	s := w.serve()
+	r, err := s.reserve(t.Context(), "r-1", placement.Choice{Server: w.availableServers(s, "engines")[0], Reserved: []int64{1000}})
+	require.NoError(t, err)
+	<-r.startRelease()
+	require.True(t, s.limitsKnown(1)())
+}
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -22,4 +22,6 @@
 	{"a limit in a misdirected response counts for its sender", "entry/gateway/statements.go", "	if !response.Misdirected {", "	if true {", gatewayPkg, "TestALimitInAMisdirectedResponse"},
 	{"a request waits for a paused server only if it can be in time", "core/placement/admit.go", "	case wait > min(q.Target, q.Remaining) || ", "	case ", "arbutusdeck/core/placement", "TestARequestWaitsForAPaused"},
 	{"an invalid limit of another entry is rejected", "core/peering/codec.go", "		if err := statement.Check(); err != nil {", "		if err := error(nil); err != nil {", peeringPkg, "TestAnInvalidMessage"},
+	{"an order names the server that it is meant for", "platform/orders.go", "	request.Header.Set(headerInstance, target.Instance)\n", "", gatewayPkg, "TestMemoryIsNotReservedAtTheNextServer"},
+	{"statements in responses to orders are recorded", "entry/gateway/reservation.go", "	s.recordStatements(time.Now(), server, sentAt, response)\n", "	_, _ = sentAt, response\n", gatewayPkg, "TestStatementsInResponsesToOrders"},
 }
