Send nothing new to a server that has stated that it leaves

Callers saw nothing, but requests reached a server 3.1 s after the entry had passed on a response that says it leaves (2 s are allowed): the store was down, and the server's row came 12 s later.

Ruled out: requests that were past the choice (chosen 3 s later), a row that brought it back (none came).

Change: a response with Server-Leaving marks the incarnation that sent it as draining in core/directory, whatever its row says later, also one that is written late or comes back after it has expired. It is logged as any change of a server, with why "stated by the server". Entries don't tell each other: a leaving server still serves, and its next response tells each of them.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -28,6 +28,8 @@
 	Server
 	// missingSince is the time at which the row was first found missing after an outage.
 	missingSince time.Time
+	// statedLeaving is set if the incarnation itself has stated that it leaves, not only its row.
+	statedLeaving bool
 }
 
 // removal is the last known state of a removed server.
@@ -35,8 +37,16 @@
 	revision uint64
 	// startedAtMs and draining are those of the removed incarnation. An incarnation that has announced that
 	// it drains stays draining if a row of it that was written late brings it back.
-	startedAtMs int64
-	draining    bool
+	startedAtMs   int64
+	draining      bool
+	statedLeaving bool
+}
+
+// staysDraining reports whether a row that is listed again is of an incarnation that drains. Without a start time
+// the row may be that of a restarted server, unless the server itself has stated that it leaves: one that restarts
+// without a start time has another identifier.
+func (r removal) staysDraining(server Server) bool {
+	return r.draining && server.StartedAtMs == r.startedAtMs && (r.startedAtMs != 0 || r.statedLeaving)
 }
 
 // Directory holds the known servers and the tombstones of removed ones. It is not safe for concurrent use.
@@ -75,16 +85,18 @@
 // and its row was written or delivered late.
 func (d *Directory) Upsert(server Server) (Change, bool) {
 	server.incarnationID = server.IncarnationID()
+	statedLeaving := false
 	if removed, ok := d.removed[server.ID]; ok {
 		if server.Revision <= removed.revision || server.StartedAtMs < removed.startedAtMs {
 			return Change{}, false
 		}
-		server.Draining = server.Draining || removed.draining && server.StartedAtMs == removed.startedAtMs && removed.startedAtMs != 0
+		statedLeaving = removed.statedLeaving && removed.staysDraining(server)
+		server.Draining = server.Draining || removed.staysDraining(server)
 		delete(d.removed, server.ID)
 	}
 	known := d.entries[server.ID]
 	if known == nil {
-		d.entries[server.ID] = &knownServer{Server: server}
+		d.entries[server.ID] = &knownServer{Server: server, statedLeaving: statedLeaving}
 		d.changed = true
 		return Change{server.incarnationID, server.Service, "", stateOf(server), "listed", server.Revision}, true
 	}
@@ -117,6 +129,7 @@
 		server.Draining = server.Draining || known.Draining
 	} else {
 		why = "started anew"
+		known.statedLeaving = false
 	}
 	restarted := server.incarnationID != known.incarnationID
 	known.Server = server
@@ -124,6 +137,35 @@
 	return Change{server.incarnationID, server.Service, from, stateOf(server), why, server.Revision}, restarted || from != stateOf(server)
 }
 
+// RecordLeaving records that an incarnation has stated that it leaves, which may be long before its row says so. It
+// stays draining whatever its row says.
+func (d *Directory) RecordLeaving(incarnationID string) (Change, bool) {
+	id, startedAtMs := parseIncarnationID(incarnationID)
+	if removed, ok := d.removed[id]; ok && removed.startedAtMs == startedAtMs {
+		removed.draining, removed.statedLeaving = true, true
+		d.removed[id] = removed
+	}
+	known := d.entries[id]
+	if known == nil || known.incarnationID != incarnationID {
+		return Change{}, false
+	}
+	from := stateOf(known.Server)
+	known.Draining, known.statedLeaving = true, true
+	d.changed = true
+	return Change{incarnationID, known.Service, from, stateOf(known.Server), "stated by the server", known.Revision}, from != stateOf(known.Server)
+}
+
+// StatedLeaving returns the incarnations of a service that have stated that they leave.
+func (d *Directory) StatedLeaving(service string) []string {
+	var leaving []string
+	for _, id := range d.ids() {
+		if known := d.entries[id]; known.statedLeaving && known.Service == service {
+			leaving = append(leaving, known.incarnationID)
+		}
+	}
+	return leaving
+}
+
 // Reject records that a row can't be read, or was not written by its server. Until a valid one follows, the
 // server is not used, even if an earlier row was valid: the address in that one may belong to another server
 // by now.
@@ -142,7 +184,7 @@
 	removed := d.removed[id]
 	removed.revision = max(removed.revision, revision)
 	if known != nil {
-		removed.startedAtMs, removed.draining = known.StartedAtMs, known.Draining
+		removed.startedAtMs, removed.draining, removed.statedLeaving = known.StartedAtMs, known.Draining, known.statedLeaving
 	}
 	d.removed[id] = removed
 	if known == nil {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -174,3 +175,45 @@
 	require.True(t, d.IsCurrent("a@5k"))
 	require.False(t, d.IsCurrent("a@8c"))
 }
+
+func TestAServerThatStatesItIsLeavingStaysDraining(t *testing.T) {
+	d := New(Options{})
+	d.Upsert(row("a", 5, false))
+	change, changed := d.RecordLeaving("a")
+	require.True(t, changed)
+	require.Equal(t, "leaving", change.To)
+	_, changed = d.RecordLeaving("a")
+	require.False(t, changed, "known")
+	require.Empty(t, d.Available("engines"))
+	require.Equal(t, []string{"a"}, d.StatedLeaving("engines"))
+	d.Upsert(row("a", 7, false))
+	require.Empty(t, d.Available("engines"), "a later row does not know it yet")
+	d.Remove("a", 8)
+	d.Upsert(row("a", 9, false))
+	require.Empty(t, d.Available("engines"), "its row had expired while the platform was down")
+	d.Replace(start, []Server{row("a", 10, false)}, 10, true)
+	require.Empty(t, d.Available("engines"))
+}
+
+func TestAStatementOfARemovedServerHoldsIfItReturns(t *testing.T) {
+	d := New(Options{})
+	d.Upsert(incarnation("a", 100, 5, false))
+	d.Remove("a", 6)
+	_, changed := d.RecordLeaving("a@" + strconv.FormatInt(100, startTimeBase))
+	require.False(t, changed, "it is not listed")
+	d.Upsert(incarnation("a", 100, 7, false))
+	require.Empty(t, d.Available("engines"))
+}
+
+func TestAStatementOfLeavingHoldsForOneIncarnation(t *testing.T) {
+	d := New(Options{})
+	d.Upsert(incarnation("a", 100, 5, false))
+	first := d.All()[0].IncarnationID()
+	d.RecordLeaving(first)
+	d.Upsert(incarnation("a", 300, 6, false))
+	require.Len(t, d.Available("engines"), 1, "the next incarnation")
+	_, changed := d.RecordLeaving(first)
+	require.False(t, changed, "a late response of the earlier one")
+	require.Len(t, d.Available("engines"), 1)
+	require.Empty(t, d.StatedLeaving("engines"))
+}
--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"arbutusdeck/core/directory"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
@@ -82,9 +83,7 @@
 	e.phase.set(phaseReserving)
 	reservation, err := e.s.reserve(ctx, dispatch.ID, choice)
 	if err != nil {
-		// The entry of another zone that placed the request has it in its load table.
-		e.s.trackEnd(dispatchRef{id: dispatch.ID, remoteZones: e.s.peers.remoteZones(choice)})
-		return e.incompleteResult(ctx, server.IncarnationID(), execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
+		return e.unsent(ctx, choice, dispatch.ID, server, err.Error())
 	}
 	defer func() {
 		released := reservation.startRelease()
@@ -93,6 +92,9 @@
 			waitForRelease(ctx, released)
 		}
 	}()
+	if refusing, ok := e.s.refusingServer(choice); ok {
+		return e.unsent(ctx, choice, dispatch.ID, refusing, "the server takes no new work any more")
+	}
 	reservation.watchUnused(cancel)
 	stall := e.watchStall(attemptCtx, choice, cancel)
 	defer stall.stop()
@@ -109,6 +111,13 @@
 	return e.handleResponse(ctx, choice, sentAt, &firstEventWait{reservation, stall, dispatched}, response)
 }
 
+// unsent returns the result of an attempt that ends before anything was sent, because of a server.
+func (e *exchange) unsent(ctx context.Context, choice placement.Choice, dispatchID string, server directory.Server, detail string) attemptResult {
+	// The entry of another zone that placed the request has it in its load table.
+	e.s.trackEnd(dispatchRef{id: dispatchID, remoteZones: e.s.peers.remoteZones(choice)})
+	return e.incompleteResult(ctx, server.IncarnationID(), execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: detail, RetryAfter: time.Second})
+}
+
 // waitForRelease waits until the memory of a failed attempt is free. The next attempt may need it
 // at the same servers, which would refuse.
 func waitForRelease(ctx context.Context, released <-chan struct{}) {
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"arbutusdeck/core/directory"
+	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
 )
 
@@ -17,6 +18,9 @@
 		return
 	}
 	s.recordLimit(now, server, sentAt, response)
+	if response.Leaving {
+		s.recordLeaving(server)
+	}
 	if response.Leaving || response.RetryAfter > 0 {
 		s.log.WithFields(logrus.Fields{"server": server.IncarnationID(), "service": server.Service, "leaving": response.Leaving,
 			"retryAfterMs": response.RetryAfter.Milliseconds()}).Info("server's statement")
@@ -33,3 +37,37 @@
 	defer s.mu.Unlock()
 	return s.directory.Get(response.Instance)
 }
+
+// recordLeaving stops new requests to a server that states that it leaves. Its row may say so much
+// later, if the store is down.
+func (s *Server) recordLeaving(server directory.Server) {
+	s.mu.Lock()
+	change, changed := s.directory.RecordLeaving(server.IncarnationID())
+	s.mu.Unlock()
+	if changed {
+		s.reportServerChanges([]directory.Change{change}, "server")
+	}
+}
+
+// refusingServer returns a server of a choice that takes no new work any more; false if all do. A
+// response to another request, or to the reservation of this one, may have stated so since the
+// choice.
+func (s *Server) refusingServer(choice placement.Choice) (directory.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range len(choice.Helpers) + 1 {
+		server := choice.ServerAt(i)
+		if known, ok := s.directory.Get(server.ID); ok && known.IncarnationID() == server.IncarnationID() && !s.directory.TakesWork(known) {
+			return server, true
+		}
+	}
+	return directory.Server{}, false
+}
+
+// refusedHere returns the servers of a service that take no request from this entry for a reason that
+// entries of other zones may not know.
+func (s *Server) refusedHere(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.StatedLeaving(service)
+}
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -25,3 +25,13 @@
 	{"an order names the server that it is meant for", "platform/orders.go", "	request.Header.Set(headerInstance, target.Instance)\n", "", gatewayPkg, "TestMemoryIsNotReservedAtTheNextServer"},
 	{"statements in responses to orders are recorded", "entry/gateway/reservation.go", "	s.recordStatements(time.Now(), server, sentAt, response)\n", "	_, _ = sentAt, response\n", gatewayPkg, "TestStatementsInResponsesToOrders"},
 }
+
+// leavingMutations remove what keeps new requests from a server that states it is leaving.
+var leavingMutations = []mutation{
+	{"a statement of leaving is recorded", "entry/gateway/statements.go", "	if response.Leaving {\n		s.recordLeaving", "	if false {\n		s.recordLeaving", gatewayPkg, "TestAServerThatStatesItIsLeaving"},
+	{"a statement of leaving outlasts later rows", "core/directory/directory.go", "		server.Draining = server.Draining || known.Draining\n", "", directoryPkg, "TestAServerThatStates"},
+	{"a statement of leaving outlasts an expired row", "core/directory/directory.go", " && (r.startedAtMs != 0 || r.statedLeaving)", " && r.startedAtMs != 0", directoryPkg, "TestAServerThatStates"},
+	{"a statement of a removed server holds if it returns", "core/directory/directory.go", "		removed.draining, removed.statedLeaving = true, true\n", "", directoryPkg, "TestAStatementOfARemovedServer"},
+	{"a statement of leaving holds for one incarnation", "core/directory/directory.go", "	if known == nil || known.incarnationID != incarnationID {\n		return Change{}, false", "	if known == nil {\n		return Change{}, false", directoryPkg, "TestAStatementOfLeavingHolds"},
+	{"a choice is checked again after the reservation", "entry/gateway/statements.go", " && !s.directory.TakesWork(known) {", " && false {", gatewayPkg, "TestAChoiceIsNotUsedAfter"},
+}
