Send a server no requests for as long as it has asked this entry to stay away

Callers saw nothing, but a server that had turned an entry away with 503 and asked for 3 s of rest got five requests from it in that time (two are allowed).

Cause: Retry-After was parsed and only passed on to the caller; a server that refuses got a backoff of half a second and more from the outcome alone, the same whatever it had asked for, and shorter where all others are in backoff (the class of the exceeded limit). Ruled out: requests past the choice (the fifth came 2.5 s later).

Change: core/retryafter keeps the pause of each incarnation that asked for one, for this entry alone; the longest holds, an hour at the most. Every choice leaves paused servers out (restrict), also the last resort, and a choice is checked once more after its reservation; a placement asked of another zone excludes them. Where all servers are paused a request waits if it can still be in time and is refused at once otherwise. A caller whose request was not executed is told when the first server takes requests again, not what one of them had asked of this entry.

Seven rows of the safeguards are red without them.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -56,20 +56,26 @@
 // waitInterval is the time after which a request that waits at the entry chooses again.
 const waitInterval = 50 * time.Millisecond
 
-// waitForPaused returns the choice where every available server is paused: the request waits for the first one if it
-// can still be in time, and is refused at once if not.
-func waitForPaused(now time.Time, q Query) (Choice, Refusal) {
-	wait, found := time.Duration(0), false
+// EarliestFree returns the time until the first server of a query is neither excluded nor paused, which is 0 if one is
+// neither now; false if all are excluded.
+func (q *Query) EarliestFree(now time.Time) (time.Duration, bool) {
+	earliest, found := time.Duration(0), false
 	for _, listed := range q.Servers {
 		incarnation := listed.IncarnationID()
-		until, paused := q.Paused[incarnation]
-		if !paused || slices.Contains(q.Exclude, incarnation) {
+		if slices.Contains(q.Exclude, incarnation) {
 			continue
 		}
-		if left := until.Sub(now); !found || left < wait {
-			wait, found = left, true
+		if left := max(q.Paused[incarnation].Sub(now), 0); !found || left < earliest {
+			earliest, found = left, true
 		}
 	}
+	return earliest, found
+}
+
+// waitForPaused returns the choice where every available server is paused: the request waits for the first one if it
+// can still be in time, and is refused at once if not.
+func waitForPaused(now time.Time, q Query) (Choice, Refusal) {
+	wait, found := q.EarliestFree(now)
 	switch {
 	case !found:
 		return Choice{}, NoServer
--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -92,8 +92,8 @@
 			waitForRelease(ctx, released)
 		}
 	}()
-	if refusing, ok := e.s.refusingServer(choice); ok {
-		return e.unsent(ctx, choice, dispatch.ID, refusing, "the server takes no new work any more")
+	if refusing, ok := e.s.refusingServer(time.Now(), choice); ok {
+		return e.unsent(ctx, choice, dispatch.ID, refusing, "the server takes no requests any more")
 	}
 	reservation.watchUnused(cancel)
 	stall := e.watchStall(attemptCtx, choice, cancel)
@@ -268,7 +268,7 @@
 	if parsed.NotExecuted {
 		fault := e.s.reportNotExecuted(choice, parsed)
 		return e.incompleteResult(ctx, fault, execution.ForwardNotExecuted, execution.Refusal{Code: execution.CodeQueueFull,
-			Detail: "the server did not take the request", RetryAfter: max(parsed.RetryAfter, 200*time.Millisecond)})
+			Detail: "the server did not take the request", RetryAfter: e.notExecutedRetryAfter(time.Now())})
 	}
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if success && (!parsed.Signed || parsed.Encoded) {
@@ -281,6 +281,21 @@
 	return e.readBuffered(ctx, server, response, success)
 }
 
+// minNotExecutedRetryAfter is the Retry-After of a request that a server has not executed while
+// other servers take requests.
+const minNotExecutedRetryAfter = 200 * time.Millisecond
+
+// notExecutedRetryAfter returns the time after which a caller whose request was not executed should
+// retry: when a server takes requests again. What one server asks of this entry does not concern
+// callers while there are others.
+func (e *exchange) notExecutedRetryAfter(now time.Time) time.Duration {
+	e.s.mu.Lock()
+	query := e.query(now, nil)
+	e.s.mu.Unlock()
+	earliest, _ := query.EarliestFree(now)
+	return max(e.jitter(earliest), minNotExecutedRetryAfter)
+}
+
 // readBuffered buffers a response until it is complete, so that a broken one can be replaced by
 // another attempt and never looks complete to the caller.
 func (e *exchange) readBuffered(ctx context.Context, server string, response *http.Response, success bool) attemptResult {
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -120,11 +120,11 @@
 	now := time.Now()
 	dispatch := e.dispatch(placement.Choice{})
 	reply := e.s.peers.requestPlacement(ctx, address, peering.PlacementRequest{Service: e.service.Name, Dispatch: dispatch, Remaining: e.deadline.Sub(now) - responseMargin,
-		Exclude: slices.Concat(e.forward.Excluded(), e.s.refusedHere(e.service.Name))})
+		Exclude: slices.Concat(e.forward.Excluded(), e.s.refusedHere(now, e.service.Name))})
 	if reply.Server == "" {
 		return placement.Choice{}, false
 	}
-	choice, ok := e.s.choiceFrom(reply)
+	choice, ok := e.s.choiceFrom(time.Now(), reply)
 	if !ok {
 		e.s.peers.send([]string{address}, peering.Message{Ended: []string{dispatch.ID}})
 		return placement.Choice{}, false
@@ -173,14 +173,14 @@
 
 // choiceFrom converts a placement reply into a choice; false if one of its servers is unknown here,
 // or accepts no new requests.
-func (s *Server) choiceFrom(reply peering.PlacementReply) (placement.Choice, bool) {
+func (s *Server) choiceFrom(now time.Time, reply peering.PlacementReply) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	choice := placement.Choice{Reserved: reply.Reserved, Predicted: reply.Predicted}
 	var servers []directory.Server
 	for _, incarnation := range append([]string{reply.Server}, reply.Helpers...) {
 		server, ok := s.directory.Lookup(incarnation)
-		if !ok || server.IncarnationID() != incarnation || !s.directory.TakesWork(server) {
+		if !ok || server.IncarnationID() != incarnation || !s.takesRequests(now, server) {
 			return placement.Choice{}, false
 		}
 		servers = append(servers, server)
--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -152,10 +152,10 @@
 func TestAPlacementInAnEvacuatedZoneIsNotUsed(t *testing.T) {
 	s := newUnstartedEntry(t)
 	s.directory.Upsert(directory.Server{ID: "i-1", Service: "engines", Address: "127.0.0.1:1", Zone: "there", Slots: 1, Revision: 2})
-	_, ok := s.choiceFrom(peering.PlacementReply{Server: "i-1"})
+	_, ok := s.choiceFrom(time.Now(), peering.PlacementReply{Server: "i-1"})
 	require.True(t, ok)
 	s.applyUpdate(peering.Update{Evacuations: []evacuation.State{{Zone: "there", Revision: 3, Evacuated: true}}}, "reader")
-	_, ok = s.choiceFrom(peering.PlacementReply{Server: "i-1"})
+	_, ok = s.choiceFrom(time.Now(), peering.PlacementReply{Server: "i-1"})
 	require.False(t, ok)
 }
 
--- a/entry/gateway/fuzz_test.go
+++ b/entry/gateway/fuzz_test.go
@@ -126,7 +126,7 @@
 				continue
 			}
 			s.peers.handleMessage(now, read)
-			if choice, ok := s.choiceFrom(*read.PlacementReply); ok {
+			if choice, ok := s.choiceFrom(time.Now(), *read.PlacementReply); ok {
 				held := &reservation{s: s, choice: choice, id: d.ID}
 				held.helpers()
 			}
--- a/entry/gateway/ratelimit_test.go
+++ b/entry/gateway/ratelimit_test.go
@@ -155,6 +155,13 @@
 // order calls the plain service and returns the status.
 func (w *testbed) order(s *Server) reply { return w.call(s, http.MethodPost, "/order/x", 0, "x") }
 
+// retryAfterSeconds returns the Retry-After of a reply.
+func retryAfterSeconds(t *testing.T, r reply) float64 {
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	return after
+}
+
 // Callers whose servers all keep to limits waited until their deadline, or came back at once.
 func TestRequestsBeyondALimitAreRefusedWithTheTimeToReturn(t *testing.T) {
 	w := newTestbed(t)
@@ -169,9 +176,7 @@
 	require.Less(t, time.Since(began), time.Second)
 	require.Equal(t, http.StatusServiceUnavailable, refused.status)
 	require.Equal(t, "notRun", problemOf(t, refused).Run)
-	after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
-	require.NoError(t, err)
-	require.InDelta(t, 4, after, 1.5, "the next request is due after 4 s, and callers are spread around it")
+	require.InDelta(t, 4, retryAfterSeconds(t, refused), 1.5, "the next request is due after 4 s, and callers are spread around it")
 	require.Len(t, worker.Runs(), 1)
 }
 
--- a/entry/gateway/restrictions.go
+++ b/entry/gateway/restrictions.go
@@ -12,6 +12,7 @@
 func (s *Server) restrict(now time.Time, service *routes.Service, q placement.Query) placement.Query {
 	s.excludeCold(now, service, &q)
 	s.limitPauses(now, &q)
+	s.pausePaused(now, &q)
 	return q
 }
 
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -32,6 +32,7 @@
 	"arbutusdeck/core/process"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/retryafter"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/core/zonerouting"
 	"arbutusdeck/platform"
@@ -101,6 +102,8 @@
 	cold *coldstart.Limiter
 	// limiter tracks the servers that state a limit of their request rate.
 	limiter *ratelimit.Limiter
+	// pauses holds the servers that have asked this entry to send no requests for a time.
+	pauses *retryafter.Pauses
 	// lastServerAddedAt is the time at which a change, as opposed to a full read, last added a
 	// server to the list.
 	lastServerAddedAt time.Time
@@ -127,7 +130,7 @@
 	s := &Server{
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(placement.DefaultOptions(settings.Zone)),
-		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
+		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), pauses: retryafter.NewPauses(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
 		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
@@ -144,6 +147,7 @@
 	s.setReadOptions(settings.readOptions())
 	s.gauge("quarantine.requests", func() int { return len(s.tracker.AllRefused(time.Now())) })
 	s.gauge("servers.limited", s.limiter.Count)
+	s.gauge("servers.paused", func() int { return len(s.pauses.Active(time.Now())) })
 	s.registerEvacuationGauges()
 	return s
 }
@@ -297,6 +301,7 @@
 		s.loadTable.Expire(now)
 		s.cold.Expire(now)
 		s.limiter.Expire(now, s.directory.IsCurrent)
+		s.pauses.Expire(now)
 		s.shareBudgets()
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -21,6 +21,9 @@
 	if response.Leaving {
 		s.recordLeaving(server)
 	}
+	if response.Unavailable && response.RetryAfter > 0 {
+		s.recordPause(now, server, response.RetryAfter)
+	}
 	if response.Leaving || response.RetryAfter > 0 {
 		s.log.WithFields(logrus.Fields{"server": server.IncarnationID(), "service": server.Service, "leaving": response.Leaving,
 			"retryAfterMs": response.RetryAfter.Milliseconds()}).Info("server's statement")
@@ -49,15 +52,42 @@
 	}
 }
 
-// refusingServer returns a server of a choice that takes no new work any more; false if all do. A
+// recordPause stops requests of this entry to a server for the time that it asks for.
+func (s *Server) recordPause(now time.Time, server directory.Server, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauses.Record(now, server.IncarnationID(), after)
+}
+
+// pausePaused pauses the servers in a query that have asked this entry for it; the caller holds the
+// lock.
+func (s *Server) pausePaused(now time.Time, q *placement.Query) {
+	if s.pauses.Empty() {
+		return
+	}
+	for _, server := range q.Servers {
+		incarnation := server.IncarnationID()
+		if until := s.pauses.Until(incarnation); now.Before(until) {
+			q.Pause(incarnation, until)
+		}
+	}
+}
+
+// takesRequests reports whether a server may get requests from this entry now, as far as it has
+// stated; the caller holds the lock.
+func (s *Server) takesRequests(now time.Time, server directory.Server) bool {
+	return s.directory.TakesWork(server) && !now.Before(s.pauses.Until(server.IncarnationID()))
+}
+
+// refusingServer returns a server of a choice that takes no requests any more; false if all do. A
 // response to another request, or to the reservation of this one, may have stated so since the
 // choice.
-func (s *Server) refusingServer(choice placement.Choice) (directory.Server, bool) {
+func (s *Server) refusingServer(now time.Time, choice placement.Choice) (directory.Server, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range len(choice.Helpers) + 1 {
 		server := choice.ServerAt(i)
-		if known, ok := s.directory.Get(server.ID); ok && known.IncarnationID() == server.IncarnationID() && !s.directory.TakesWork(known) {
+		if known, ok := s.directory.Get(server.ID); ok && known.IncarnationID() == server.IncarnationID() && !s.takesRequests(now, known) {
 			return server, true
 		}
 	}
@@ -66,8 +96,8 @@
 
 // refusedHere returns the servers of a service that take no request from this entry for a reason that
 // entries of other zones may not know.
-func (s *Server) refusedHere(service string) []string {
+func (s *Server) refusedHere(now time.Time, service string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.StatedLeaving(service)
+	return append(s.directory.StatedLeaving(service), s.pauses.Active(now)...)
 }
--- a/entry/gateway/statements_test.go
+++ b/entry/gateway/statements_test.go
@@ -21,20 +21,23 @@
 	script, otherScript http.HandlerFunc
 	// inOrders is set if the server states something in its responses to orders only.
 	inOrders bool
+	// interval is the time between two callers.
+	interval time.Duration
 	// othersServe is set if the others serve all requests.
 	othersServe bool
 }
 
 func requestPaths() []requestPath {
 	events := func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 2, 0) }
+	const quick, rare = 10 * time.Millisecond, 200 * time.Millisecond
 	slow := func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }
 	return []requestPath{
-		{"plain", "plain", http.MethodPost, "/order/x", 0, nil, slow, false, true},
-		{"stream", "engines", http.MethodPost, "/stream/x", 2000, events, events, false, true},
-		{"retry", "plain", http.MethodGet, "/read/x", 0, nil, standin.NotExecuted, false, false},
-		{"resumed", "engines", http.MethodPost, "/stream/x", 2000, events, standin.BreakFirstStream(4, 1), false, true},
-		{"split", "engines", http.MethodPost, "/stream/x", 200_000, events, events, false, true},
-		{"reserved", "engines", http.MethodPost, "/stream/x", 300_000, events, events, true, true},
+		{"plain", "plain", http.MethodPost, "/order/x", 0, nil, slow, false, quick, true},
+		{"stream", "engines", http.MethodPost, "/stream/x", 2000, events, events, false, quick, true},
+		{"retry", "plain", http.MethodGet, "/read/x", 0, nil, standin.NotExecuted, false, quick, false},
+		{"resumed", "engines", http.MethodPost, "/stream/x", 2000, events, standin.BreakFirstStream(4, 1), false, quick, true},
+		{"split", "engines", http.MethodPost, "/stream/x", 100_000, events, events, false, rare, true},
+		{"reserved", "engines", http.MethodPost, "/stream/x", 300_000, events, events, true, rare, true},
 	}
 }
 
@@ -126,11 +129,11 @@
 			s := w.serve()
 			servers := w.availableServers(s, "engines")
 			choice := placement.Choice{Server: servers[0], Helpers: servers[1:]}
-			_, refuses := s.refusingServer(choice)
+			_, refuses := s.refusingServer(time.Now(), choice)
 			require.False(t, refuses)
 			leaving := map[string]*standin.Worker{"server": first, "helper": second}[role]
 			s.recordLeaving(directory.Server{ID: leaving.ID})
-			server, refuses := s.refusingServer(choice)
+			server, refuses := s.refusingServer(time.Now(), choice)
 			require.True(t, refuses)
 			require.Equal(t, leaving.ID, server.ID)
 		})
@@ -141,9 +144,6 @@
 func TestAServerThatAsksForAPauseGetsNoRequestUntilItIsOver(t *testing.T) {
 	const pause = 2 * time.Second
 	for _, p := range requestPaths() {
-		if p.inOrders {
-			continue
-		}
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			w := newTestbed(t)
@@ -152,14 +152,17 @@
 			pausing.RefuseFor(pause.Seconds())
 			s := w.serve()
 			w.callUntilHeard(s, p, pausing)
-			first := pausing.arrivals.since(time.Time{})[0]
+			heard := time.Now()
 			var calls sync.WaitGroup
-			for time.Since(first) < pause-100*time.Millisecond {
+			for time.Since(heard) < pause-600*time.Millisecond {
 				calls.Go(func() { w.call(s, p.method, p.path, p.tokens, "x") })
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(p.interval)
 			}
 			require.Equal(t, 1, pausing.work())
 			calls.Wait()
+			if p.inOrders {
+				return // without the others there is no memory for the prompt
+			}
 			for _, other := range w.workers[1:] {
 				other.Refuse.Store(true)
 			}
@@ -170,3 +173,71 @@
 		})
 	}
 }
+
+// Callers of a service whose servers had all asked for a pause were sent to them all the same.
+func TestCallersAreToldWhenTheFirstPauseEnds(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	workers := []*standin.Worker{w.worker("i-1", "plain", nil), w.worker("i-2", "plain", nil)}
+	s := w.serve()
+	for i, worker := range workers {
+		worker.RefuseFor(6 + 4*float64(i))
+	}
+	refused := w.order(s)
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.InDelta(t, 6, retryAfterSeconds(t, refused), 2, "both have refused it")
+	began := time.Now()
+	refused = w.order(s)
+	require.Less(t, time.Since(began), time.Second, "it can't be served in time")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Equal(t, "notRun", problemOf(t, refused).Run)
+	require.InDelta(t, 6, retryAfterSeconds(t, refused), 2, "the first pause, and callers are spread around its end")
+	require.Zero(t, w.runCount())
+}
+
+// A caller was told to stay away for the pause that one server had asked this entry for, although others were free.
+func TestOneServersPauseDoesNotKeepCallersAway(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	pausing, other := w.worker("i-1", "plain", nil), w.worker("i-2", "plain", nil)
+	s := w.serve()
+	pausing.RefuseFor(8)
+	other.Refuse.Store(true)
+	s.reportUnreachable(pausing.ID) // so that it is the last that refuses
+	refused := w.order(s)
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Less(t, retryAfterSeconds(t, refused), 1.0)
+	s.mu.Lock()
+	require.False(t, s.pauses.Empty())
+	s.mu.Unlock()
+	other.Refuse.Store(false)
+	require.Equal(t, http.StatusOK, w.order(s).status)
+}
+
+// The pause of a server that has ended must not hold for the next one under its identifier.
+func TestAPauseHoldsForAnIncarnation(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	worker := standin.NewWorker("i-1", "plain")
+	worker.StartedAtMs = 1_000
+	w.addRow(worker)
+	s := w.serve()
+	worker.RefuseFor(60)
+	require.Equal(t, http.StatusServiceUnavailable, w.order(s).status)
+	require.Equal(t, http.StatusServiceUnavailable, w.order(s).status)
+	worker.StartedAtMs = 2_000
+	w.store.Put(worker.Row("ready"))
+	w.eventually("its next incarnation gets requests", func() bool { return w.order(s).status == http.StatusOK })
+}
+
+// A pause concerns the entry that was asked for it, not the others.
+func TestAPauseHoldsForOneEntry(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	worker := w.worker("i-1", "plain", nil)
+	first, second := w.serveTwo()
+	worker.RefuseFor(60)
+	require.Equal(t, http.StatusServiceUnavailable, w.order(first).status)
+	require.Equal(t, http.StatusServiceUnavailable, w.order(first).status)
+	require.Equal(t, http.StatusOK, w.order(second).status)
+}
--- a/proof/mutations/evacuation_mutations_test.go
+++ b/proof/mutations/evacuation_mutations_test.go
@@ -13,7 +13,7 @@
 	{"an evacuation survives a store restored from a backup", "entry/gateway/evacuation.go", "platform.EraOf(listed.Revision) > s.era", "false", gatewayPkg, "TestAnEvacuationOutlives"},
 	{"a missed evacuation is fetched from a peer", "entry/gateway/view.go", "	evacuations := s.applyViewEvacuations(v)\n", "	var evacuations []evacuation.State\n", gatewayPkg, "TestALostEvacuation"},
 	{"a view of an earlier version ends no evacuation", "entry/gateway/evacuation.go", "v.Evacuations == nil || ", "", gatewayPkg, "TestALostEvacuation"},
-	{"a placement in an evacuated zone is not used", "entry/gateway/crosszone.go", " || !s.directory.TakesWork(server)", "", gatewayPkg, "TestAPlacementInAnEvacuatedZoneIsNotUsed"},
+	{"a placement in an evacuated zone is not used", "entry/gateway/crosszone.go", " || !s.takesRequests(now, server)", "", gatewayPkg, "TestAPlacementInAnEvacuatedZoneIsNotUsed"},
 	{"an entry sends a cold server one request a second", "core/coldstart/limiter.go", "	if !known.lastSent.IsZero() && now.Sub(known.lastSent) < sendInterval {", "	if false {", coldstartPkg, "TestAnEntrySends|TestNoCold"},
 	{"few entries send requests to a cold server", "core/coldstart/limiter.go", "	return known.rank < MaxSenders(perSecond)", "	return true", coldstartPkg, "TestOfMany|TestNoCold"},
 	{"the cold rate allows for entries that know too few others", "core/coldstart/limiter.go", "const mutuallyKnownShare = 0.5", "const mutuallyKnownShare = 1", coldstartPkg, "TestNoCold"},
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -33,5 +33,16 @@
 	{"a statement of leaving outlasts an expired row", "core/directory/directory.go", " && (r.startedAtMs != 0 || r.statedLeaving)", " && r.startedAtMs != 0", directoryPkg, "TestAServerThatStates"},
 	{"a statement of a removed server holds if it returns", "core/directory/directory.go", "		removed.draining, removed.statedLeaving = true, true\n", "", directoryPkg, "TestAStatementOfARemovedServer"},
 	{"a statement of leaving holds for one incarnation", "core/directory/directory.go", "	if known == nil || known.incarnationID != incarnationID {\n		return Change{}, false", "	if known == nil {\n		return Change{}, false", directoryPkg, "TestAStatementOfLeavingHolds"},
-	{"a choice is checked again after the reservation", "entry/gateway/statements.go", " && !s.directory.TakesWork(known) {", " && false {", gatewayPkg, "TestAChoiceIsNotUsedAfter"},
+	{"a choice is checked again after the reservation", "entry/gateway/statements.go", " && !s.takesRequests(now, known) {", " && false {", gatewayPkg, "TestAChoiceIsNotUsedAfter"},
+}
+
+// pauseMutations remove what keeps requests from a server that has asked this entry for a pause.
+var pauseMutations = []mutation{
+	{"a pause that a server asks for is recorded", "entry/gateway/statements.go", "		s.recordPause(now, server, response.RetryAfter)\n", "", gatewayPkg, "TestAServerThatAsksForAPause"},
+	{"a paused server is not chosen", "entry/gateway/restrictions.go", "	s.pausePaused(now, &q)\n", "", gatewayPkg, "TestCallersAreTold"},
+	{"the longest pause holds", "core/retryafter/pauses.go", "until.After(p.until[incarnation])", "true", "arbutusdeck/core/retryafter", "TestTheLongestPause"},
+	{"a mistaken pause is bounded", "core/retryafter/pauses.go", "min(after, maxPause)", "after", "arbutusdeck/core/retryafter", "TestAMistakenPause"},
+	{"one server's pause is not passed on to callers", "entry/gateway/attempt.go", "RetryAfter: e.notExecutedRetryAfter(time.Now())})", "RetryAfter: max(parsed.RetryAfter, minNotExecutedRetryAfter)})", gatewayPkg, "TestOneServersPause"},
+	{"callers return when the first pause ends", "entry/gateway/attempt.go", "max(e.jitter(earliest), minNotExecutedRetryAfter)", "max(e.jitter(0*earliest), minNotExecutedRetryAfter)", gatewayPkg, "TestCallersAreTold"},
+	{"an infinite delay does not overflow", "platform/messages.go", "min(seconds, maxCount/1000)", "seconds", platformPkg, "TestResponseHeaders"},
 }
