Count a reservation once in the test of huge prompts, whatever its renewals

Cause, traced before: the test summed orders, and a first renewal (after a second) may come before it reads them. Now all reserve orders of a server have to be for one reservation of the same tokens, and its tokens count once; the sum checked is the same.

--- a/entry/gateway/reservation_test.go
+++ b/entry/gateway/reservation_test.go
@@ -50,16 +50,32 @@
 			require.Contains(t, run.Helpers, "/")
 			require.True(t, strings.HasPrefix(run.Helpers, worker.Address()+"/"), "its own reservation comes first")
 		}
-		for _, order := range worker.Orders() {
-			if order.Operation == "reserve" {
-				reserved += order.Tokens
-			}
-		}
+		reserved += requireOneReservation(t, worker)
 	}
 	require.Equal(t, int64(500_500), reserved)
 	w.eventually("all memory is released", w.allReleased)
 }
 
+// requireOneReservation checks that all reserve orders of a server are for the same reservation, as renewals are, and
+// returns its tokens; 0 without any.
+func requireOneReservation(t *testing.T, worker *standin.Worker) int64 {
+	var first *standin.Order
+	for _, order := range worker.Orders() {
+		if order.Operation != "reserve" {
+			continue
+		}
+		if first == nil {
+			first = &order
+		}
+		require.Equal(t, first.Id, order.Id)
+		require.Equal(t, first.Tokens, order.Tokens)
+	}
+	if first == nil {
+		return 0
+	}
+	return first.Tokens
+}
+
 // A long prompt is divided over four servers, one of which is down. The first one refuses the
 // request and names it; the next attempt keeps the first one and excludes the other.
 func TestACrashedHelperIsExcluded(t *testing.T) {
