Await that all callers' requests were read, not that all are open at one moment

The test asks that each is ended with its time: it now awaits that twenty requests have been read, then that none is open 8 s later at the latest, as before.

--- a/entry/gateway/body_test.go
+++ b/entry/gateway/body_test.go
@@ -46,7 +46,7 @@
 	for range callers {
 		w.dialSlowly(s, requestHead(http.MethodGet, "/read/x", callerTime, ""))
 	}
-	w.eventually("all are open", func() bool { return s.manager.Open() == callers })
+	w.eventually("all have been read", func() bool { return s.counters.requests.Count() == callers })
 	require.Eventually(t, func() bool { return s.manager.Open() == 0 }, callerTime+3*time.Second, 10*time.Millisecond)
 }
 
