A renewal that is under way when its request ends is waited for, not cancelled

What servers saw: memory reserved for a request that had ended, for 3.5 s.

Cause, suspected before and traced now: the end of a request cancelled the renewal that was under way; the server had it already and carried it out after the release. Ruled out: a release that was lost (each is answered).

--- a/entry/gateway/reservation.go
+++ b/entry/gateway/reservation.go
@@ -175,7 +175,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if err := r.sendReserve(ctx, false); err != nil && ctx.Err() == nil {
+		// A renewal that is cancelled may still be carried out, after the release.
+		if err := r.sendReserve(context.WithoutCancel(ctx), false); err != nil && ctx.Err() == nil {
 			r.s.log.WithError(err).WithField("reservation", r.id).Warn("renewing a reservation failed")
 		}
 	}
--- a/entry/gateway/reservation_test.go
+++ b/entry/gateway/reservation_test.go
@@ -260,3 +260,29 @@
 	<-r.startRelease()
 	require.True(t, s.limitsKnown(1)())
 }
+
+// A renewal that was under way when its request ended was cancelled here, carried out at the server after the release,
+// and kept memory for nobody until it expired.
+func TestARenewalUnderWayDoesNotOutliveItsRequest(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	renewing := make(chan struct{})
+	worker := standin.NewWorker("i-1", "engines")
+	var reserves atomic.Int32
+	worker.DelayOrder = func(order standin.Order) time.Duration {
+		if order.Operation != "reserve" || reserves.Add(1) != 2 {
+			return 0
+		}
+		close(renewing)
+		return 300 * time.Millisecond
+	}
+	w.addRow(worker)
+	s := w.serve()
+	r, err := s.reserve(t.Context(), "r-1", placement.Choice{Server: w.availableServers(s, "engines")[0], Reserved: []int64{1000}})
+	require.NoError(t, err)
+	<-renewing
+	<-r.startRelease()
+	// The server carries out the renewal even if this entry has cancelled it.
+	w.eventually("the renewal was carried out", func() bool { return len(worker.Orders()) == 3 })
+	require.Empty(t, worker.Reserved())
+}
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -23,6 +23,7 @@
 	{"a request waits for a paused server only if it can be in time", "core/placement/admit.go", "	case wait > min(q.Target, q.Remaining) || ", "	case ", "arbutusdeck/core/placement", "TestARequestWaitsForAPaused"},
 	{"an invalid limit of another entry is rejected", "core/peering/codec.go", "		if err := statement.Check(); err != nil {", "		if err := error(nil); err != nil {", peeringPkg, "TestAnInvalidMessage"},
 	{"an order names the server that it is meant for", "platform/orders.go", "	request.Header.Set(headerInstance, target.Instance)\n", "", gatewayPkg, "TestMemoryIsNotReservedAtTheNextServer"},
+	{"a renewal under way ends before the release", "entry/gateway/reservation.go", "r.sendReserve(context.WithoutCancel(ctx), false)", "r.sendReserve(ctx, false)", gatewayPkg, "TestARenewalUnderWay"},
 	{"statements in responses to orders are recorded", "entry/gateway/reservation.go", "	s.recordStatements(time.Now(), server, sentAt, response)\n", "	_, _ = sentAt, response\n", gatewayPkg, "TestStatementsInResponsesToOrders"},
 }
 
