Ignore the begin of a request that its end has overtaken

Cause: messages between entries are sent by goroutines of their own, and a begin may be sent after the end of the same request (or arrive after it). The end found nothing to end, the begin then counted at its server until its lifetime was over, some 15 s: the entries that heard it so took the server for full.

Change: the load table remembers ends for two seconds and takes no begin of these requests, which also holds for one that is sent again to an entry that joined.

Test: TestABeginThatItsEndHasOvertakenDoesNotCount, red without (a row of the safeguards). Left: a first event that overtakes its begin is lost, as before; the end corrects it.

--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -63,12 +63,15 @@
 	options Options
 	servers map[string]*server
 	active  map[string]*activeDispatch
+	// ended holds the dispatches that ended lately: a begin that was overtaken by its end must not count until its
+	// lifetime is over.
+	ended   map[string]time.Time
 	packing packing
 }
 
 // NewLoadTable returns an empty load table.
 func NewLoadTable(options Options) *LoadTable {
-	return &LoadTable{options: options, packing: packing{options.PackShare}, servers: map[string]*server{}, active: map[string]*activeDispatch{}}
+	return &LoadTable{options: options, packing: packing{options.PackShare}, servers: map[string]*server{}, active: map[string]*activeDispatch{}, ended: map[string]time.Time{}}
 }
 
 func (t *LoadTable) server(id string, engine *enginemodel.Engine) *server {
@@ -104,7 +107,7 @@
 
 func (t *LoadTable) begin(now time.Time, a *activeDispatch, engine *enginemodel.Engine) {
 	d := &a.dispatch
-	if t.active[d.ID] != nil {
+	if _, ended := t.ended[d.ID]; ended || t.active[d.ID] != nil {
 		return
 	}
 	a.began, a.expires = now, now.Add(d.Lifetime)
@@ -161,6 +164,7 @@
 
 // End records that a dispatch has ended.
 func (t *LoadTable) End(now time.Time, id string) {
+	t.ended[id] = now
 	a := t.active[id]
 	if a == nil {
 		return
@@ -184,6 +188,9 @@
 	}
 }
 
+// overtakeTime bounds the time by which messages overtake each other.
+const overtakeTime = 2 * time.Second
+
 // Expire ends the dispatches whose lifetime is over. A peer that was killed or is unreachable never reports
 // their ends.
 func (t *LoadTable) Expire(now time.Time) {
@@ -192,6 +199,7 @@
 			t.End(now, id)
 		}
 	}
+	maps.DeleteFunc(t.ended, func(_ string, ended time.Time) bool { return now.Sub(ended) > overtakeTime })
 }
 
 func (s *server) remove(id string) {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -377,3 +377,21 @@
 	require.Equal(t, "s01", choice.Server.ID)
 	require.Less(t, choice.Predicted, 250*time.Millisecond)
 }
+
+// A message with the begin of a request was overtaken by that with its end. The request counted at its server until its
+// lifetime was over, and prompts were refused for want of memory that was free.
+func TestABeginThatItsEndHasOvertakenDoesNotCount(t *testing.T) {
+	table := newTable()
+	d := Dispatch{ID: "d", Server: "s00", PromptTokens: 200_000, AnswerTokens: 800, Lifetime: 15 * time.Second}
+	table.End(start, "d")
+	table.BeginPeerDispatch(start.Add(time.Millisecond), "peer", d, engine)
+	require.Zero(t, table.ActiveCount())
+	d.ID = "e"
+	table.BeginPeerDispatch(start, "peer", d, engine)
+	require.Equal(t, 1, table.ActiveCount())
+	table.End(start, "e")
+	table.BeginPeerDispatch(start.Add(time.Millisecond), "peer", d, engine)
+	require.Zero(t, table.ActiveCount(), "a repeated begin")
+	table.Expire(start.Add(overtakeTime + 1))
+	require.Empty(t, table.ended)
+}
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -66,6 +66,7 @@
 	{"an unreachable server is no placement", "entry/gateway/crosszone.go", "choice.Unreachable || ", "", gatewayPkg, "TestAZoneWithoutServers"},
 	{"a placement is in the load table", "entry/gateway/crosszone.go", "			s.loadTable.BeginPeerDispatch(now, from, d, service.Engine)\n", "", gatewayPkg, "TestAPlacementWithoutAReplyIsCancelled"},
 	{"requests wait for a starting entry", "entry/gateway/handler.go", "	e.awaitStart()\n", "", gatewayPkg, "TestARequestWaitsForAStartingEntry"},
+	{"a begin that its end has overtaken does not count", "core/placement/loadtable.go", "	t.ended[id] = now\n", "", placementPkg, "TestABeginThatItsEnd"},
 	{"any server is better than none", "entry/gateway/crosszone.go", "	if refusal == placement.NoServer || refusal == placement.Paused {", "	if false {", gatewayPkg, "TestWithoutLocalServersAnyServerServes"},
 	{"entries use the servers of their zone", "entry/gateway/run.go", "	if service.Engine != nil && s.routesLocally(service.Name) {", "	if false {", gatewayPkg, "TestEntriesKeepToTheServers"},
 	{"a removed service ends its zone-local routing", "entry/gateway/localrouting.go", "	localRouting := map[string]zonerouting.LocalRouting{}\n", "	localRouting := maps.Clone(s.localRouting)\n	var _ zonerouting.LocalRouting\n", gatewayPkg, "TestARemovedService"},
