Read on when a caller is refused while it still sends its prompt

Cause, traced before: the HTTP server closes a connection with the rest of a large body unread half a second after the response; the reset overtakes the response at a caller that is still sending.

Change: a refusal states its length and is flushed, so that it is complete for the caller at once; then the rest of the body is read and thrown away, up to the largest body that the configuration allows, for two seconds, and until the shutdown timeout. A caller that expects to be asked for its body sends none. Weighed: a half-close and discard (the HTTP server gives no hold of the connection without taking it over).

Tests: TestACallerThatIsStillSendingGetsItsRefusal, red before ("connection reset by peer" while sending), and TestTheRestOfARefusedBodyIsReadForALimitedTime.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -63,6 +64,34 @@
 	b.reserved = 0
 }
 
+// bodyLimit returns the longest body that a caller may send, in bytes.
+func (e *exchange) bodyLimit() int64 {
+	if e.table != nil && e.table.Limits().BodyBytes > 0 {
+		return e.table.Limits().BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// discardTime bounds the time in which the rest of a refused request's body is read.
+const discardTime = 2 * time.Second
+
+// discardBody reads the rest of a refused request's body, in bounds of bytes and time, and keeps
+// nothing of it. If the connection were closed before, it would be reset, and a caller that is still
+// sending would lose the response.
+func (e *exchange) discardBody() {
+	if e.r.Header.Get("Expect") != "" {
+		return // the caller sends no body after a refusal
+	}
+	e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now().Add(discardTime))
+	release := context.AfterFunc(e.s.manager.Aborting(), func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })
+	defer release()
+	if _, err := io.CopyN(io.Discard, e.r.Body, e.bodyLimit()); err != nil && !errors.Is(err, io.EOF) {
+		e.s.log.WithError(err).WithField("request", e.info.ID).Debug("reading the rest of a refused request failed")
+		return
+	}
+	e.clearReadDeadline()
+}
+
 // responseWriteSlack bounds the time after the request's deadline in which the rest of its response
 // is written to the caller.
 const responseWriteSlack = 200 * time.Millisecond
--- a/entry/gateway/body_test.go
+++ b/entry/gateway/body_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -114,3 +115,65 @@
 		})
 	}
 }
+
+// A caller was refused while it was still sending a prompt of megabytes. The connection was closed with the rest unread,
+// and the caller got a reset in place of the answer.
+func TestACallerThatIsStillSendingGetsItsRefusal(t *testing.T) {
+	for name, head := range map[string]string{"told length": "Content-Length: 3145728\r\n", "unknown length": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestbed(t)
+			w.configure(func(c map[string]any) { c["Limits"].(map[string]any)["MaxBodyBytes"] = 4 << 20 })
+			w.worker("i-1", "plain", nil)
+			settings := w.newSettings()
+			settings.MemoryMB = 4 // the body does not fit
+			s := w.start(settings)
+			w.eventually("the entry is ready", func() bool { return w.isCurrent(s) })
+			connection, err := net.Dial("tcp", s.settings.ListenAddress)
+			require.NoError(t, err)
+			defer connection.Close()
+			_, err = io.WriteString(connection, requestHead(http.MethodPost, "/order/x", testTimeout, head))
+			require.NoError(t, err)
+			chunk := []byte(strings.Repeat("x", 64<<10))
+			if name == "unknown length" {
+				chunk = []byte("10000\r\n" + string(chunk) + "\r\n")
+			}
+			for range 48 {
+				time.Sleep(20 * time.Millisecond)
+				_, err := connection.Write(chunk)
+				require.NoError(t, err)
+			}
+			if name == "unknown length" {
+				_, err = io.WriteString(connection, "0\r\n\r\n")
+				require.NoError(t, err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Contains(t, string(body), `"run":"notRun"`)
+		})
+	}
+}
+
+// A caller that goes on to send after its refusal holds its connection for two seconds and no memory.
+func TestTheRestOfARefusedBodyIsReadForALimitedTime(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(func(c map[string]any) { c["Limits"].(map[string]any)["MaxBodyBytes"] = 4 << 20 })
+	w.worker("i-1", "plain", nil)
+	settings := w.newSettings()
+	settings.MemoryMB = 4
+	s := w.start(settings)
+	w.eventually("the entry is ready", func() bool { return w.isCurrent(s) })
+	connection := w.dialSlowly(s, requestHead(http.MethodPost, "/order/x", testTimeout, "Content-Length: 3145728\r\n"))
+	began := time.Now()
+	answer := make([]byte, len("HTTP/1.1 503"))
+	_, err := io.ReadFull(connection, answer)
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 503", string(answer))
+	require.Less(t, time.Since(began), discardTime, "the answer comes at once")
+	require.Zero(t, s.bodies.Reserved())
+	w.eventually("the request ends", func() bool { return s.manager.Open() == 0 })
+	require.Less(t, time.Since(began), discardTime+time.Second)
+}
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -42,8 +42,10 @@
 	priority   int
 	body       []byte
 	bodyBuffer bodyBuffer
-	deadline   time.Time
-	forward    *execution.Forward
+	// bodyEnded is set once no more of the body can be read.
+	bodyEnded bool
+	deadline  time.Time
+	forward   *execution.Forward
 	// draw is a random number that splits requests between services and breaks ties.
 	draw float64
 	// retryCharged is set if the retry budget was charged for the next attempt before this one was
@@ -129,10 +131,7 @@
 }
 
 func (e *exchange) readBody() bool {
-	limit := e.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := e.bodyLimit()
 	if e.r.ContentLength > limit {
 		e.refuseTooLarge()
 		return false
@@ -143,11 +142,12 @@
 	body, err := e.bodyBuffer.read(http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength)
 	release()
 	var tooLarge *http.MaxBytesError
+	e.bodyEnded = !errors.As(err, &tooLarge) && !errors.Is(err, errBodiesFull)
 	switch {
 	case err != nil && e.s.manager.Aborting().Err() != nil:
 		e.refuse(http.StatusServiceUnavailable, e.shutdownRefusal())
 		return false
-	case errors.As(err, &tooLarge):
+	case tooLarge != nil:
 		e.refuseTooLarge()
 		return false
 	case errors.Is(err, errBodiesFull):
--- a/entry/gateway/responses.go
+++ b/entry/gateway/responses.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -77,11 +78,28 @@
 	if c.Refusal.RetryAfter > 0 && c.Outcome == execution.NotRun {
 		platform.SetRetryAfter(h, c.Refusal.RetryAfter)
 	}
-	e.writeHeader(status)
-	body := problem{Code: c.Refusal.Code, Detail: c.Refusal.Detail, Run: c.Outcome.String()}
-	if err := json.NewEncoder(e.w).Encode(body); err != nil {
+	if err := e.writeProblem(status, problem{Code: c.Refusal.Code, Detail: c.Refusal.Detail, Run: c.Outcome.String()}); err != nil {
 		e.s.log.WithError(err).WithField("request", e.info.ID).Debug("writing the response failed: the caller has disconnected")
+		return
+	}
+	if !e.bodyEnded {
+		e.discardBody()
+	}
+}
+
+// writeProblem writes a whole error response. Its length is stated, so that it is complete for the
+// caller while the rest of the request is still read.
+func (e *exchange) writeProblem(status int, body problem) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	e.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	e.writeHeader(status)
+	if _, err := e.w.Write(content); err != nil {
+		return err
 	}
+	return http.NewResponseController(e.w).Flush()
 }
 
 func (e *exchange) succeed() { e.responded("", execution.Finished) }
