--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -120,7 +120,7 @@
 	now := time.Now()
 	dispatch := e.dispatch(placement.Choice{})
 	reply := e.s.peers.requestPlacement(ctx, address, peering.PlacementRequest{Service: e.service.Name, Dispatch: dispatch, Remaining: e.deadline.Sub(now) - responseMargin,
-		Exclude: slices.Concat(e.forward.Excluded(), e.s.refusedHere(now, e.service.Name))})
+		Exclude: slices.Concat(e.forward.Excluded(), e.s.unavailableHere(now, e.service.Name))})
 	if reply.Server == "" {
 		return placement.Choice{}, false
 	}
--- a/entry/gateway/ratelimit.go
+++ b/entry/gateway/ratelimit.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// limitPauses adds the servers that may get no request from this entry now because of their limit to
-// a query; the caller holds the lock.
-func (s *Server) limitPauses(now time.Time, q *placement.Query) {
+// pauseLimited pauses or excludes the servers in a query that may get no request from this entry now
+// because of their limit; the caller holds the lock.
+func (s *Server) pauseLimited(now time.Time, q *placement.Query) {
 	if s.limiter.Empty() {
 		return
 	}
--- a/entry/gateway/restrictions.go
+++ b/entry/gateway/restrictions.go
@@ -11,8 +11,8 @@
 // holds the lock.
 func (s *Server) restrict(now time.Time, service *routes.Service, q placement.Query) placement.Query {
 	s.excludeCold(now, service, &q)
-	s.limitPauses(now, &q)
-	s.pausePaused(now, &q)
+	s.pauseLimited(now, &q)
+	s.pauseRequested(now, &q)
 	return q
 }
 
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -59,9 +59,9 @@
 	s.pauses.Record(now, server.IncarnationID(), after)
 }
 
-// pausePaused pauses the servers in a query that have asked this entry for it; the caller holds the
-// lock.
-func (s *Server) pausePaused(now time.Time, q *placement.Query) {
+// pauseRequested pauses the servers in a query that have asked this entry for a pause; the caller
+// holds the lock.
+func (s *Server) pauseRequested(now time.Time, q *placement.Query) {
 	if s.pauses.Empty() {
 		return
 	}
@@ -94,9 +94,9 @@
 	return directory.Server{}, false
 }
 
-// refusedHere returns the servers of a service that take no request from this entry for a reason that
-// entries of other zones may not know.
-func (s *Server) refusedHere(now time.Time, service string) []string {
+// unavailableHere returns servers that take no request from this entry for a reason that entries of
+// other zones may not know: those of a service that have stated that they leave, and paused ones.
+func (s *Server) unavailableHere(now time.Time, service string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append(s.directory.StatedLeaving(service), s.pauses.Active(now)...)
--- a/proof/mutations/serverstate_mutations_test.go
+++ b/proof/mutations/serverstate_mutations_test.go
@@ -5,7 +5,7 @@
 // limitMutations remove what keeps the entries together within the request limits that servers state.
 var limitMutations = []mutation{
 	{"a limit in a response is recorded", "entry/gateway/statements.go", "	s.recordLimit(now, server, sentAt, response)\n", "", gatewayPkg, "TestRequestsBeyondALimit"},
-	{"a limited server is paused between requests", "entry/gateway/restrictions.go", "	s.limitPauses(now, &q)\n", "", gatewayPkg, "TestRequestsBeyondALimit"},
+	{"a limited server is paused between requests", "entry/gateway/restrictions.go", "	s.pauseLimited(now, &q)\n", "", gatewayPkg, "TestRequestsBeyondALimit"},
 	{"a request counts against the limit of its server", "entry/gateway/restrictions.go", "		s.limiter.RecordSend(now, choice.ServerAt(i).IncarnationID())\n", "		_ = i\n", gatewayPkg, "TestEntriesTogetherKeepToAServersRequestLimit"},
 	{"a limit is divided among the entries", "core/ratelimit/limiter.go", "float64(time.Second) * float64(senders)", "float64(time.Second) * float64(min(senders, 1))", ratelimitPkg, "TestEntriesTogether"},
 	{"few entries send to a limited server", "core/ratelimit/limiter.go", "return baseSenders + int(min(perSecond, maxPerSecond))", "return 10 * baseSenders", ratelimitPkg, "TestEntriesTogether"},
@@ -40,7 +40,7 @@
 // pauseMutations remove what keeps requests from a server that has asked this entry for a pause.
 var pauseMutations = []mutation{
 	{"a pause that a server asks for is recorded", "entry/gateway/statements.go", "		s.recordPause(now, server, response.RetryAfter)\n", "", gatewayPkg, "TestAServerThatAsksForAPause"},
-	{"a paused server is not chosen", "entry/gateway/restrictions.go", "	s.pausePaused(now, &q)\n", "", gatewayPkg, "TestCallersAreTold"},
+	{"a paused server is not chosen", "entry/gateway/restrictions.go", "	s.pauseRequested(now, &q)\n", "", gatewayPkg, "TestCallersAreTold"},
 	{"the longest pause holds", "core/retryafter/pauses.go", "until.After(p.until[incarnation])", "true", "arbutusdeck/core/retryafter", "TestTheLongestPause"},
 	{"a mistaken pause is bounded", "core/retryafter/pauses.go", "min(after, maxPause)", "after", "arbutusdeck/core/retryafter", "TestAMistakenPause"},
 	{"one server's pause is not passed on to callers", "entry/gateway/attempt.go", "RetryAfter: e.notExecutedRetryAfter(time.Now())})", "RetryAfter: max(parsed.RetryAfter, minNotExecutedRetryAfter)})", gatewayPkg, "TestOneServersPause"},
