Merge twins of the change: ranks among entries, reads that end at the shutdown timeout

From the last read of the change; behaviour is the same. - peering: Rank and ShareOf each looped over the members; rankAmong serves both. - gateway: reading and discarding a body set the same deadline at the shutdown timeout; endReadOnAbort serves both. - ratelimit: a copy of peering's latest went; a comment says what the bound is for. - directory: whether a row stays draining was computed twice.

Seen and left: core/coldstart and core/ratelimit both limit a server's rate by ranks, with different rules (one request a second and half the rate kept free; equal rates of the stated limit).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -90,8 +90,9 @@
 		if server.Revision <= removed.revision || server.StartedAtMs < removed.startedAtMs {
 			return Change{}, false
 		}
-		statedLeaving = removed.statedLeaving && removed.staysDraining(server)
-		server.Draining = server.Draining || removed.staysDraining(server)
+		staysDraining := removed.staysDraining(server)
+		statedLeaving = staysDraining && removed.statedLeaving
+		server.Draining = server.Draining || staysDraining
 		delete(d.removed, server.ID)
 	}
 	known := d.entries[server.ID]
--- a/core/peering/owners.go
+++ b/core/peering/owners.go
@@ -39,13 +39,24 @@
 // Rank returns this entry's rank among all known entries by their rendezvous hash with a server; the highest hash
 // has rank 0.
 func (g *Group) Rank(server string) int {
-	rank, own := 0, rendezvousHash(g.self, server)
-	for address := range g.members {
+	rank, _ := g.rankAmong(server, func(*member) bool { return true })
+	return rank
+}
+
+// rankAmong returns this entry's rank by the hash with a server among the members that satisfy a condition, and their
+// number.
+func (g *Group) rankAmong(server string, holds func(*member) bool) (rank, count int) {
+	own := rendezvousHash(g.self, server)
+	for address, m := range g.members {
+		if !holds(m) {
+			continue
+		}
+		count++
 		if rendezvousHash(address, server) > own {
 			rank++
 		}
 	}
-	return rank
+	return rank, count
 }
 
 // ServersOf returns the set of servers that the given entries own.
--- a/core/peering/shares.go
+++ b/core/peering/shares.go
@@ -10,18 +10,10 @@
 	if g.scope == scopeZone && zone != "" && zone != g.zone {
 		return 0, 0
 	}
-	own := rendezvousHash(g.self, server)
-	entries = 1
-	for address, m := range g.members {
-		if g.scope == scopeZone && !g.isLocal(m) || !m.mayRun(now) {
-			continue
-		}
-		entries++
-		if rendezvousHash(address, server) > own {
-			rank++
-		}
-	}
-	return rank, entries
+	rank, others := g.rankAmong(server, func(m *member) bool {
+		return (g.scope != scopeZone || g.isLocal(m)) && m.mayRun(now)
+	})
+	return rank, others + 1
 }
 
 // mayRun reports whether a member was heard, or became known, within FailedAfter.
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -19,7 +19,7 @@
 // maxSenders returns the number of entries that send to a server with a limit.
 func maxSenders(perSecond float64) int { return baseSenders + int(min(perSecond, maxPerSecond)) }
 
-// maxPerSecond bounds the limits that are told apart from none.
+// maxPerSecond bounds the rate from which the number of senders is computed, which would overflow.
 const maxPerSecond = 1e6
 
 // Share is the part of this entry in the limit of a server: its rank, from 0, among the entries that may send to the
@@ -111,7 +111,10 @@
 	if known.share.Rank >= senders {
 		return time.Time{}, false
 	}
-	next := latest(known.lastSent.Add(known.interval(senders)), known.limitedSince.Add(settleTime))
+	next := known.lastSent.Add(known.interval(senders))
+	if settled := known.limitedSince.Add(settleTime); next.Before(settled) {
+		next = settled
+	}
 	if unsettled := known.lastSent.Add(known.interval(most)); unsettled.Before(next) {
 		return unsettled, true
 	}
@@ -123,13 +126,6 @@
 	return time.Duration(float64(time.Second) * float64(senders) / max(s.perSecond, minPerSecond))
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // RecordSend records that a request is sent to a server.
 func (l *Limiter) RecordSend(now time.Time, incarnation string) {
 	if known := l.servers[incarnation]; known != nil {
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -83,8 +83,7 @@
 		return // the caller sends no body after a refusal
 	}
 	e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now().Add(discardTime))
-	release := context.AfterFunc(e.s.manager.Aborting(), func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })
-	defer release()
+	defer e.endReadOnAbort()()
 	if _, err := io.CopyN(io.Discard, e.r.Body, e.bodyLimit()); err != nil && !errors.Is(err, io.EOF) {
 		e.s.log.WithError(err).WithField("request", e.info.ID).Debug("reading the rest of a refused request failed")
 		return
@@ -109,6 +108,12 @@
 	e.setDeadline((*http.ResponseController).SetReadDeadline, time.Time{})
 }
 
+// endReadOnAbort ends a read from the caller at the shutdown timeout, until the returned function is
+// called.
+func (e *exchange) endReadOnAbort() (stop func() bool) {
+	return context.AfterFunc(e.s.manager.Aborting(), func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })
+}
+
 func (e *exchange) setDeadline(set func(*http.ResponseController, time.Time) error, at time.Time) {
 	if err := set(http.NewResponseController(e.w), at); err != nil {
 		e.s.log.WithError(err).WithField("request", e.info.ID).Warn("setting a deadline on the caller's connection failed")
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -137,10 +136,9 @@
 		return false
 	}
 	e.setIODeadlines()
-	// The shutdown timeout also ends the wait for a body.
-	release := context.AfterFunc(e.s.manager.Aborting(), func() { e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now()) })
+	stop := e.endReadOnAbort()
 	body, err := e.bodyBuffer.read(http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength)
-	release()
+	stop()
 	var tooLarge *http.MaxBytesError
 	e.bodyEnded = !errors.As(err, &tooLarge) && !errors.Is(err, errBodiesFull)
 	switch {
