--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -91,8 +91,22 @@
 	}
 }
 
+// logFolder returns a folder for the logs of a run, which stays if the test fails.
+func logFolder(t *testing.T) string {
+	folder, err := os.MkdirTemp("", "arbutus-soak-test-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("the logs are in", folder)
+			return
+		}
+		require.NoError(t, os.RemoveAll(folder))
+	})
+	return folder
+}
+
 func requireNoFindings(t *testing.T, o Options, binary string) {
-	o.Binary, o.Folder = binary, t.TempDir()
+	o.Binary, o.Folder = binary, logFolder(t)
 	report, err := Execute(o)
 	require.NoError(t, err)
 	require.Empty(t, report.Findings)
