Exchange the state of a zone with the heartbeats between delegates

Cause: entries know of another zone only the share of servers with spare capacity.

Ruled out: passing a summary on with the age of a later heartbeat that carries none (an entry of an earlier version may be the other delegate; the state would look newer than it is), and all summaries in one local heartbeat (two of the largest exceed a packet of 1,500 bytes).

Change: Message.Summary (30) and ZoneSummary.Summary (7), checked when decoded and passed on with their age; Group.ZoneStates and EntriesToAsk; SplitSummaries divides what is passed on into packets. SpareCapacity stays as it is.

The gateway doesn't fill the fields yet.

--- a/core/peering/codec.go
+++ b/core/peering/codec.go
@@ -43,6 +43,11 @@
 	if m.EntryCount < 0 || m.EntryCount > maxEntries {
 		return fmt.Errorf("entry count of the zone is %d, not 0 to %d", m.EntryCount, maxEntries)
 	}
+	if m.Summary != nil {
+		if err := m.Summary.Check(); err != nil {
+			return fmt.Errorf("summary of the zone: %w", err)
+		}
+	}
 	for _, summary := range m.ZoneSummaries {
 		if err := summary.check(); err != nil {
 			return fmt.Errorf("zone %s: %w", summary.Zone, err)
@@ -81,5 +86,10 @@
 	if z.Age < 0 || z.Age > maxSummaryAgeMs {
 		return fmt.Errorf("age is %d ms, not 0 to %d", z.Age, maxSummaryAgeMs)
 	}
+	if z.Summary != nil {
+		if err := z.Summary.Check(); err != nil {
+			return fmt.Errorf("summary: %w", err)
+		}
+	}
 	return nil
 }
--- a/core/peering/codec_test.go
+++ b/core/peering/codec_test.go
@@ -10,6 +10,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/zonestate"
 )
 
 func dispatchMessage() Message {
@@ -69,7 +70,11 @@
 		"too long":              func(m *Message) { m.Dispatches[0].Lifetime = 1 << 60 },
 		"too many entries":      func(m *Message) { m.EntryCount = maxEntries + 1 },
 		"less than none":        func(m *Message) { m.ZoneSummaries = []ZoneSummary{{EntryCount: -1}} },
-		"from the future":       func(m *Message) { m.ZoneSummaries = []ZoneSummary{{Age: -1}} },
+		"a zone's state":        func(m *Message) { m.Summary = &zonestate.Summary{} },
+		"a zone's state passed on": func(m *Message) {
+			m.ZoneSummaries = []ZoneSummary{{Zone: "a", Summary: &zonestate.Summary{Version: 1, Services: []zonestate.ServiceState{{Service: "a", FreeSlots: 1}}}}}
+		},
+		"from the future": func(m *Message) { m.ZoneSummaries = []ZoneSummary{{Age: -1}} },
 		"a question": func(m *Message) {
 			m.PlacementRequest = &PlacementRequest{Dispatch: placement.Dispatch{PromptTokens: -1}}
 		},
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -8,6 +8,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/zonestate"
 )
 
 // Message is sent from one entry to another. Fields are numbered for the wire, see Encode.
@@ -68,6 +69,9 @@
 	Relay bool `cbor:"28,keyasint,omitempty"`
 	// Limits are the request limits that servers have stated in responses to the sender, and their ends.
 	Limits []ratelimit.Statement `cbor:"29,keyasint,omitempty"`
+	// Summary is the state of the sender's zone; nil if not given. Like SpareCapacity, which entries of versions
+	// that don't know it go by, it is sent to other zones.
+	Summary *zonestate.Summary `cbor:"30,keyasint,omitempty"`
 }
 
 // ZoneSummary is the state of a zone as its entries report it.
@@ -80,6 +84,8 @@
 	// Delegates are the zone's delegates; Addresses are other running entries.
 	Delegates []string `cbor:"5,keyasint,omitempty"`
 	Addresses []string `cbor:"6,keyasint,omitempty"`
+	// Summary is as in Message, as of Age milliseconds ago.
+	Summary *zonestate.Summary `cbor:"7,keyasint,omitempty"`
 }
 
 // SetRecordsDigest sets RecordsDigest to the digest of the sender's records.
--- a/core/peering/remote.go
+++ b/core/peering/remote.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"arbutusdeck/core/zonestate"
 )
 
 // Zones whose entries use only their own servers exchange little: how many entries share a budget, which servers
@@ -33,6 +35,8 @@
 	spareCapacityTTL = 1500 * time.Millisecond
 	// summaryTTL bounds the time for which a report from an entry of another zone is passed on to local entries.
 	summaryTTL = spareCapacityTTL
+	// StateTTL bounds the age of another zone's summary, for the same reason; an older one counts as not heard.
+	StateTTL = spareCapacityTTL
 )
 
 // remoteZone is the last known state of another zone.
@@ -45,6 +49,10 @@
 	asOf, lastDirect time.Time
 	// delegates are the entries that exchange state for the zone.
 	delegates []string
+	// summary is the newest one of a known version, nil before the first; summaryAsOf is its time. Entries of
+	// versions that send none don't replace it.
+	summary     *zonestate.Summary
+	summaryAsOf time.Time
 }
 
 // observeRemote applies what a message reports of other zones, and returns whether it reports anything.
@@ -57,6 +65,7 @@
 		known := g.remoteZone(m.Zone)
 		known.lastDirect = now
 		known.update(now, m.EntryCount, m.SpareCapacity, m.Delegates)
+		known.updateSummary(now, m.Summary)
 	}
 	for _, summary := range m.ZoneSummaries {
 		if m.Zone == g.zone && summary.Zone != g.zone && summary.Zone != "" {
@@ -69,7 +78,9 @@
 // applySummary applies a summary of another zone that a local entry passes on.
 func (g *Group) applySummary(now time.Time, summary ZoneSummary) {
 	asOf := now.Add(-time.Duration(summary.Age) * time.Millisecond)
-	g.remoteZone(summary.Zone).update(asOf, summary.EntryCount, summary.SpareCapacity, summary.Delegates)
+	known := g.remoteZone(summary.Zone)
+	known.update(asOf, summary.EntryCount, summary.SpareCapacity, summary.Delegates)
+	known.updateSummary(asOf, summary.Summary)
 	for _, address := range slices.Concat(summary.Delegates, summary.Addresses) {
 		if m := g.addRemote(now, summary.Zone, address); m != nil {
 			m.indirectlyHeard = latest(m.indirectlyHeard, asOf)
@@ -96,6 +107,22 @@
 	}
 }
 
+// updateSummary replaces the summary by a newer one of a known version.
+func (z *remoteZone) updateSummary(asOf time.Time, summary *zonestate.Summary) {
+	if summary.Known() && !asOf.Before(z.summaryAsOf) {
+		z.summary, z.summaryAsOf = summary, asOf
+	}
+}
+
+// currentSummary returns the summary if it is of the time of the rest of the state, whose age is passed on with it,
+// else nil.
+func (z *remoteZone) currentSummary() *zonestate.Summary {
+	if !z.summaryAsOf.Equal(z.asOf) {
+		return nil
+	}
+	return z.summary
+}
+
 // addRemote adds an entry of another zone. It returns nil if enough of them are known.
 func (g *Group) addRemote(now time.Time, zone, address string) *member {
 	if g.members[address] == nil && g.knowsEnough(now, zone) {
@@ -229,7 +256,8 @@
 		if known == nil || known.lastDirect.IsZero() || now.Sub(known.lastDirect) >= summaryTTL {
 			continue
 		}
-		summary := ZoneSummary{Zone: zone, EntryCount: known.entryCount, SpareCapacity: known.spareCapacity, Age: now.Sub(known.asOf).Milliseconds(), Delegates: known.delegates}
+		summary := ZoneSummary{Zone: zone, EntryCount: known.entryCount, SpareCapacity: known.spareCapacity, Age: now.Sub(known.asOf).Milliseconds(), Delegates: known.delegates,
+			Summary: known.currentSummary()}
 		if running := g.RunningIn(now, zone); len(running) > 0 {
 			summary.Addresses = []string{running[turn%len(running)]}
 		}
@@ -254,3 +282,61 @@
 	}
 	return address, float64(best-1) / 100, best > 0
 }
+
+// ZoneState is the summary of another zone as known here.
+type ZoneState struct {
+	Zone string
+	// EntryCount is the number of the zone's running entries.
+	EntryCount int
+	// Summary is shared and must not be changed.
+	Summary *zonestate.Summary
+	// AsOf is the time of the summary.
+	AsOf time.Time
+}
+
+// ZoneStates returns the summaries of other zones that are not older than StateTTL, in the order of the zones.
+func (g *Group) ZoneStates(now time.Time) []ZoneState {
+	var states []ZoneState
+	for _, zone := range g.RemoteZones() {
+		known := g.remote[zone]
+		if known == nil || known.summary == nil || now.Sub(known.summaryAsOf) > StateTTL {
+			continue
+		}
+		states = append(states, ZoneState{Zone: zone, EntryCount: known.entryCount, Summary: known.summary, AsOf: known.summaryAsOf})
+	}
+	return states
+}
+
+// EntriesToAsk returns the running entries of another zone in the order in which this entry asks them for a
+// placement: the next one is asked if one doesn't reply. The order differs between the entries that ask.
+func (g *Group) EntriesToAsk(now time.Time, zone string) []string {
+	running := g.filter(func(m *member) bool { return m.zone == zone && m.isRunning(now) && !m.stopping })
+	slices.SortFunc(running, func(a, b string) int { return cmp.Compare(rendezvousHash(g.self, a), rendezvousHash(g.self, b)) })
+	return running
+}
+
+// maxSummaryBytes bounds the summaries in one message. It leaves room for the rest of a heartbeat in a packet of a
+// usual link (1,500 bytes).
+const maxSummaryBytes = 1250
+
+// SplitSummaries splits summaries of zones into parts that each fit a message. The first part goes with a heartbeat.
+func SplitSummaries(summaries []ZoneSummary) [][]ZoneSummary {
+	var parts [][]ZoneSummary
+	for _, summary := range summaries {
+		if last := len(parts) - 1; last >= 0 && summaryBytes(append(slices.Clone(parts[last]), summary)) <= maxSummaryBytes {
+			parts[last] = append(parts[last], summary)
+			continue
+		}
+		parts = append(parts, []ZoneSummary{summary})
+	}
+	return parts
+}
+
+// summaryBytes returns the encoded size of summaries; none that can't be encoded joins others.
+func summaryBytes(summaries []ZoneSummary) int {
+	data, err := Encode(Message{ZoneSummaries: summaries})
+	if err != nil {
+		return maxSummaryBytes + 1
+	}
+	return len(data)
+}
