Leave an entry's share alone while a zone has no room for the prompt

Cause: the share of a summary is computed at the first request after it. A long prompt that no server there can hold set it to 0, and smaller ones found none until the next summary.

Ruled out: a share for each size; the reply decides anyway.

Change: a zone without room for the prompt is answered as full before the share is computed.

--- a/core/spillover/spillover.go
+++ b/core/spillover/spillover.go
@@ -173,12 +173,14 @@
 		return d
 	}
 	d.Room = s.room(state, q.Need)
+	if d.Room < 1 {
+		d.Reason = Full
+		return d
+	}
 	a := z.account(q.Need)
 	a.renew(other.AsOf, d.Room/float64(s.askers(now, q, other)), q.Draw)
 	d.Share, d.UnderWay = a.share, s.underWay(other.Name, q.Need.Long, other.AsOf.Add(-z.responseTime(s.options.ReplyTimeout)))
 	switch {
-	case d.Room < 1:
-		d.Reason = Full
 	case !a.refusedAt.Before(other.AsOf):
 		d.Reason = Refusing
 	case d.UnderWay >= d.Share:
--- a/core/spillover/spillover_test.go
+++ b/core/spillover/spillover_test.go
@@ -206,6 +206,10 @@
 	require.Equal(t, "b", New(options).Choose(now, q).Zone)
 	q.Need.Tokens = 2_100_000
 	require.Equal(t, Full, New(options).Choose(now, q).Reason)
+	both := New(options)
+	require.Equal(t, Full, both.Choose(now, q).Reason)
+	q.Need.Tokens, q.Need.Spread = 120_000, false
+	require.Equal(t, "b", both.Choose(now, q).Zone, "a larger prompt before it leaves this one's share")
 	busy := roomy
 	busy.BacklogMs = 4000
 	q = refusedHere(zoneWith("b", busy))
