Move the reading of the store from entry/gateway to entry/storeread

Cause: entry/gateway still held the loop that reads the metadata store, its state under the lock of the Server, and the updates that it sends to entries that do not read.

Change: entry/storeread holds the loop, the start from a peer's view, what is known of the store's availability, and the division of changes into updates. Its Reader reaches the store, the entry and the other entries through the interfaces Store, Target and Peers; a Link is a Peers, and storeTarget in entry/gateway is a Target. The Reader has a lock of its own, which it holds during no call of an interface. applyUpdate asks it under the lock of the Server, as before: the store loop reads its position under that lock after it has decided to read. storeloop.go keeps what applies changes of the store and is named storechanges.go; the clock of suspended hosts is package entry/boottime. Calls, choices, log lines and metric names are the same.

The test of updates in parts moves along and reads its rows from the stand-in store without an entry; the test of the clock moves with it. The test of a lost update has the entry decide to read instead of setting a field. Rows of the mutation and removal tables name the new files.

--- a/entry/gateway/clock.go
+++ b/entry/boottime/boottime.go
@@ -1,4 +1,5 @@
-package gateway
+// Package boottime reads a clock that advances while the machine is suspended.
+package boottime
 
 import (
 	"time"
@@ -6,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// boottime returns the time of a clock that, unlike the monotonic clock, advances while the machine
+// At returns the time of a clock that, unlike the monotonic clock, advances while the machine
 // is suspended and, unlike the wall clock, never jumps.
-func boottime(now time.Time) time.Time {
+func At(now time.Time) time.Time {
 	var reading unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
 		// The monotonic clock still reveals a process that was stopped.
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -143,8 +143,8 @@
 	return choice, true
 }
 
-// placeForPeer places another zone's request at the servers of this zone. It records the
-// dispatch, so that the next placement takes it into account.
+// placeForPeer places another zone's request at the servers of this zone. It records the dispatch,
+// so that the next placement takes it into account.
 func (s *Server) placeForPeer(now time.Time, from string, request peering.PlacementRequest) peering.PlacementReply {
 	reply := peering.PlacementReply{ID: request.Dispatch.ID}
 	d := request.Dispatch
--- a/entry/gateway/peerservices.go
+++ b/entry/gateway/peerservices.go
@@ -16,9 +16,9 @@
 
 func (p peerServices) Versions() (version, revision uint64) { return p.s.versions() }
 
-func (p peerServices) StoreState(now time.Time) peering.StoreState { return p.s.storeState(now) }
+func (p peerServices) StoreState(now time.Time) peering.StoreState { return p.s.reader.State(now) }
 
-func (p peerServices) StoreUnavailable(now time.Time) bool { return p.s.storeUnavailable(now) }
+func (p peerServices) StoreUnavailable(now time.Time) bool { return p.s.reader.Unavailable(now) }
 
 func (p peerServices) Starting() bool { return p.s.manager.State() == lifecycle.Starting }
 
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -27,7 +27,6 @@
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/membership"
 	"arbutusdeck/core/netopts"
-	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
 	"arbutusdeck/core/quarantine"
@@ -35,7 +34,9 @@
 	"arbutusdeck/core/retryafter"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/core/zonerouting"
+	"arbutusdeck/entry/boottime"
 	"arbutusdeck/entry/peerlink"
+	"arbutusdeck/entry/storeread"
 	"arbutusdeck/platform"
 )
 
@@ -60,17 +61,15 @@
 	traffic     *peerlink.Traffic
 	transport   *http.Transport
 	orderClient *http.Client
-	store       *platform.Store
 	table       atomic.Pointer[routes.Table]
 	started     chan struct{}             // closed when this entry leaves the Starting state
 	stopping    atomic.Pointer[time.Time] // when shutdown began; nil before
-	// readOptions determine how this entry takes part in reading the store.
-	readOptions atomic.Pointer[peering.ReadOptions]
 	connections connections
 	// bodies is the memory budget of the bodies of open requests.
 	bodies admission.ByteBudget
 	open   openSet[*exchange]
 	peers  *peerlink.Link
+	reader *storeread.Reader
 	tomb   *tomb.Tomb
 	// loadedSettings are the settings as last read; used by the settings loop only.
 	loadedSettings Settings
@@ -86,14 +85,6 @@
 	// era is the latest era seen of the store. A higher one means that the store was restored from
 	// a backup.
 	era uint64
-	// lastStoreSuccess is the time of the last successful call to the store, on the clock that also
-	// advances while the host is suspended: an entry that resumes must not consider its data fresh.
-	lastStoreSuccess time.Time
-	storeLostSince   time.Time // the first failure since then, zero if none
-	// lastStoreFailure is the time of the last failed call, reading whether this entry reads the
-	// store itself.
-	lastStoreFailure time.Time
-	reading          bool
 	// evacuation holds the zones that get no new requests, emptiedZones those of them at which no
 	// request of this entry is open.
 	evacuation   evacuation.Zones
@@ -141,11 +132,12 @@
 	s.manager = lifecycle.NewManager(s.stateChanged)
 	s.transport = newTransport()
 	s.orderClient = &http.Client{Transport: newTransport()}
-	s.store = platform.NewStore(settings.Store, storeClient(), storeTimeout)
-	s.store.OnCall(s.traffic.CountCall)
 	peers := peerServices{s}
 	s.peers = peerlink.New(peerlink.Options{Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: s.incarnation, Seeds: settings.Seeds, Log: s.log, Traffic: s.traffic,
 		Status: peers, Views: peers, Loads: peers, Records: peers, Placements: peers})
+	store := platform.NewStore(settings.Store, storeClient(), storeTimeout)
+	store.OnCall(s.traffic.CountCall)
+	s.reader = storeread.New(storeread.Options{Zone: settings.Zone, Store: store, Target: storeTarget{s}, Peers: s.peers, Log: s.log, Errors: s.counters.storeErrors})
 	s.setReadOptions(settings.readOptions())
 	s.gauge("quarantine.requests", func() int { return len(s.tracker.AllRefused(time.Now())) })
 	s.gauge("servers.limited", s.limiter.Count)
@@ -250,7 +242,7 @@
 	if err := s.peers.Start(t); err != nil {
 		return err
 	}
-	t.Go(s.storeLoop)
+	t.Go(func() error { return s.reader.Run(t) })
 	t.Go(s.tickLoop)
 	t.Go(s.settingsLoop)
 	t.Go(func() error { return s.traffic.LogLoop(t.Dying(), s.log) })
@@ -325,7 +317,7 @@
 // without it, and choices would rest on requests that ended long ago.
 func (s *Server) detectPause(now time.Time) {
 	s.mu.Lock()
-	gap := s.pauseDetector.Tick(boottime(now))
+	gap := s.pauseDetector.Tick(boottime.At(now))
 	if gap > 0 {
 		s.loadTable.Reset()
 		s.cold.ResetRanks()
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -98,25 +98,6 @@
 	// storeTimeout bounds a call to the store, and a watch beyond its wait. The store responds in
 	// milliseconds, and in up to some 250 ms while it is slow.
 	storeTimeout = time.Second
-	// watchWait bounds one long poll of a watch. Each call adds load to the store, but a watch that
-	// the store has silently dropped is detected only when the wait ends, and a configuration has
-	// to apply two seconds after it was acknowledged by a store that has been healthy for three.
-	watchWait = 2 * time.Second
-	// storeRetryMin and storeRetryMax bound the backoff after a failed call.
-	storeRetryMin = 100 * time.Millisecond
-	storeRetryMax = time.Second
-	// readerPoll is the interval at which an entry that does not read the store checks whether it
-	// has to. It is well below the limits of changes.
-	readerPoll = 100 * time.Millisecond
-	// startPoll is the interval at which a starting entry checks whether a peer is up to date or it
-	// has to read the store itself.
-	startPoll = 5 * time.Millisecond
-	// storeFailureMemory is the time for which a failed call counts against reading the store for
-	// others.
-	storeFailureMemory = 3 * time.Second
-	// storeOutageTolerance bounds the time for which the store may be unavailable before the
-	// servers of a peer's view are applied as well.
-	storeOutageTolerance = 300 * time.Millisecond
 	// shutdownLinger is the time for which new requests are accepted after SIGTERM. The load
 	// balancer probes once a second and stops routing after two failures.
 	shutdownLinger = 2800 * time.Millisecond
--- a/entry/gateway/storeloop.go
+++ b/entry/gateway/storechanges.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,133 +8,11 @@
 	"arbutusdeck/core/audit"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
-	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/platform"
 )
 
-// storeLoop keeps the configuration and the list of servers current. An entry that has to read the
-// store reads both completely, and then watches for changes until the history from its revision is
-// unavailable; the others get the changes from those that read.
-func (s *Server) storeLoop() error {
-	ctx := s.tomb.Context(context.Background())
-	s.bootstrapFromPeers(ctx)
-	failures := 0
-	for s.tomb.Alive() {
-		if !s.updateReading(time.Now()) {
-			if !s.sleep(readerPoll) {
-				return nil
-			}
-			continue
-		}
-		err := s.watchStore(ctx)
-		if !s.tomb.Alive() {
-			return nil
-		}
-		switch {
-		case err == nil:
-			continue // other entries read from now on
-		case errors.Is(err, platform.ErrHistoryUnavailable):
-			s.log.Warn("the store's history from the known revision is unavailable; reading the full state")
-			s.resetPosition()
-			continue
-		}
-		if s.recordStoreFailure(time.Now()) {
-			failures = 0
-			s.log.WithError(err).Warn("lost the metadata store; the last known state stays in force")
-		}
-		s.counters.storeErrors.Inc(1)
-		failures++
-		pause := min(storeRetryMin<<min(failures, 5), storeRetryMax)
-		if !s.sleep(time.Duration(float64(pause) * (0.5 + rand.Float64()))) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// sleep returns false if the daemon stops before d has passed.
-func (s *Server) sleep(d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-s.tomb.Dying():
-		return false
-	}
-}
-
-// watchStore watches for changes until a call fails or other entries read for this one. First it
-// reads the full list if this entry does not know up to which revision its own is complete, and the
-// configuration in any case: peers send servers and configurations separately, so that the
-// configuration here may be older than the list.
-func (s *Server) watchStore(ctx context.Context) error {
-	if err := s.readStore(ctx); err != nil {
-		return err
-	}
-	for s.tomb.Alive() && s.updateReading(time.Now()) {
-		revision := s.position()
-		options := s.readOptions.Load()
-		changes, err := s.store.Watch(ctx, revision, options.LongPollTimeout(watchWait))
-		if err != nil {
-			return err
-		}
-		s.recordStoreSuccess()
-		s.applyWatched(revision, changes)
-		s.serveWhenReady()
-		if !s.sleep(options.PollDelay()) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// readStore reads what a watch from the known position would not report.
-func (s *Server) readStore(ctx context.Context) error {
-	var servers platform.Changes
-	full := s.position() == 0 || s.storeIsLost()
-	if full {
-		var err error
-		servers, err = s.store.ReadServers(ctx)
-		if err != nil {
-			return err
-		}
-	}
-	operators, err := s.store.ReadOperatorRows(ctx)
-	if err != nil {
-		return err
-	}
-	afterOutage := s.recordStoreSuccess()
-	s.replaceEvacuations(operators)
-	s.applyChanges(operators, "platform")
-	if full {
-		s.replaceServers(servers, afterOutage)
-	}
-	s.serveWhenReady()
-	if s.manager.State() == lifecycle.Starting {
-		// Other entries wait for the store readers before they read the store themselves, although
-		// there is no configuration to serve with yet.
-		s.peers.BroadcastState()
-	}
-	return nil
-}
-
-// applyWatched applies the changes of a watch and sends them to the other entries of the zone.
-func (s *Server) applyWatched(from uint64, changes platform.Changes) {
-	s.applyChanges(changes, "platform")
-	s.mu.Lock()
-	s.advance(changes.Revision)
-	s.mu.Unlock()
-	s.sendChanges(from, changes)
-}
-
-// storeIsLost reports whether the last call to the store failed. Rows of running servers may have
-// expired meanwhile, which a watch would report like removed servers.
-func (s *Server) storeIsLost() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.storeLostSince.IsZero()
-}
-
 // position returns the store revision up to which the list of servers is complete.
 func (s *Server) position() uint64 {
 	s.mu.Lock()
@@ -158,43 +33,6 @@
 	s.revision = 0
 }
 
-// recordStoreSuccess records a response of the store and returns whether it was unavailable before.
-func (s *Server) recordStoreSuccess() bool {
-	now := time.Now()
-	s.mu.Lock()
-	wasLost := !s.storeLostSince.IsZero()
-	first := s.lastStoreSuccess.IsZero()
-	s.lastStoreSuccess, s.storeLostSince = boottime(now), time.Time{}
-	s.mu.Unlock()
-	if first || wasLost {
-		s.log.Info("reached the metadata store")
-	}
-	return wasLost
-}
-
-// recordStoreFailure records a failed call and returns whether it is the first in a row.
-func (s *Server) recordStoreFailure(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastStoreFailure = now
-	if !s.storeLostSince.IsZero() {
-		return false
-	}
-	s.storeLostSince = now
-	return true
-}
-
-// storeUnavailable reports whether this entry could not read the store for a while and no other
-// entry of its zone is up to date.
-func (s *Server) storeUnavailable(now time.Time) bool {
-	if s.peers.HasFreshPeer(now) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastStoreSuccess.IsZero() || !s.storeLostSince.IsZero() && now.Sub(s.storeLostSince) > storeOutageTolerance
-}
-
 func (s *Server) replaceServers(changes platform.Changes, afterOutage bool) {
 	now := time.Now()
 	s.logRejected(changes, "platform")
@@ -335,3 +173,25 @@
 	}
 	return service.Engine, true
 }
+
+// setReadOptions applies new options of reading the store.
+func (s *Server) setReadOptions(options peering.ReadOptions) {
+	s.reader.SetOptions(options)
+	s.peers.SetReadOptions(options)
+}
+
+// applyUpdate applies what a store reader sent. The rows may arrive in any order; the position
+// advances only where nothing is missing, and never that of a reader: its next watch would then
+// skip a configuration that the update does not hold, and if the entry that sent it terminated, no
+// entry would learn of that configuration.
+func (s *Server) applyUpdate(update peering.Update, from string) {
+	s.mu.Lock()
+	serverChanges := s.applyRows(update.Servers, update.Tombstones)
+	evacuations := s.applyEvacuations(update.Evacuations)
+	if !s.reader.Reading() && s.revision != 0 && update.BaseRevision <= s.revision {
+		s.advance(update.UpToRevision)
+	}
+	s.mu.Unlock()
+	s.reportServerChanges(serverChanges, "peer "+from)
+	s.reportEvacuations(evacuations, "peer "+from)
+}
--- a/entry/gateway/storereaders_test.go
+++ b/entry/gateway/storereaders_test.go
@@ -15,7 +15,6 @@
 	"arbutusdeck/core/process"
 	"arbutusdeck/entry/peerlink"
 	"arbutusdeck/platform"
-	"arbutusdeck/platform/standin"
 )
 
 // startZone starts entries of one zone with limits that allow few store readers.
@@ -38,7 +37,7 @@
 func countReaders(entries []*Server) int {
 	count := 0
 	for _, s := range entries {
-		if s.storeState(time.Now()).Reads {
+		if s.reader.State(time.Now()).Reads {
 			count++
 		}
 	}
@@ -121,47 +120,11 @@
 	require.Len(t, w.availableServers(s, "plain"), 1)
 	s.applyUpdate(peering.Update{BaseRevision: 12, UpToRevision: 13}, "peer")
 	require.EqualValues(t, 13, s.position())
-	s.reading = true
+	require.True(t, s.reader.UpdateReading(time.Now()), "with a limit of changes of two seconds all entries read")
 	s.applyUpdate(peering.Update{BaseRevision: 13, UpToRevision: 14}, "peer")
 	require.EqualValues(t, 13, s.position(), "a store reader relies on its own watch: the update holds no configuration")
 }
 
-// Many rows change at once. They are sent in parts that fit into a packet, and each part starts
-// where the previous one ends.
-func TestUpdatesAreSentInPartsWithoutGaps(t *testing.T) {
-	w := newTestbed(t)
-	w.configure(nil)
-	s := w.start(w.newSettings())
-	var changes platform.Changes
-	for i := range 20 {
-		worker := standin.ServerRow("plain", "127.0.0.1:1", "ready")
-		w.store.Put("servers/i-"+string(rune('a'+i)), worker)
-	}
-	w.eventually("all are known", func() bool { return len(w.availableServers(s, "plain")) == 20 })
-	for _, server := range w.availableServers(s, "plain") {
-		changes.Servers = append(changes.Servers, server)
-		changes.Revision = max(changes.Revision, server.Revision)
-	}
-	changes.Revision += 5
-	updates := s.updates(1, changes)
-	require.Len(t, updates, 3)
-	at, rows := uint64(1), 0
-	for _, update := range updates {
-		require.Equal(t, at, update.BaseRevision)
-		for _, server := range update.Servers {
-			require.Greater(t, server.Revision, update.BaseRevision)
-			require.LessOrEqual(t, server.Revision, update.UpToRevision)
-		}
-		at, rows = update.UpToRevision, rows+len(update.Servers)
-		message := peering.Message{From: "127.127.127.127:65535", Update: &update}
-		data, err := peering.Encode(message)
-		require.NoError(t, err)
-		require.Less(t, len(data), 1400)
-	}
-	require.Equal(t, changes.Revision, at)
-	require.Equal(t, 20, rows)
-}
-
 // A server is removed while an entry is cut off from the zone, and the next entry that it hears has
 // started since and never knew the server. Its view is complete all the same.
 func TestALaterViewIsComplete(t *testing.T) {
--- a/entry/gateway/unresponsive_test.go
+++ b/entry/gateway/unresponsive_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +19,7 @@
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
+	"arbutusdeck/entry/boottime"
 )
 
 // A backend server or the store is cut off and sends no reset. The kernel closes the connection
@@ -105,10 +105,10 @@
 	}
 	write(4 * time.Second)
 	s := New(Options{Settings: settings, SettingsPath: path, Log: process.NewDiscardLogger(), Trail: audit.NewTrail(nil, 100)})
-	require.True(t, s.readOptions.Load().AllowsSharedReads())
+	require.True(t, s.reader.Options().AllowsSharedReads())
 	write(2 * time.Second)
 	s.reload()
-	require.False(t, s.readOptions.Load().AllowsSharedReads())
+	require.False(t, s.reader.Options().AllowsSharedReads())
 	require.True(t, s.peers.ShouldRead(time.Now(), peering.StoreState{Lost: true}))
 }
 
@@ -121,14 +121,7 @@
 	s.loadTable.Begin(now, placement.Dispatch{ID: "a", Server: "i-1", Lifetime: time.Minute}, nil, 0)
 	s.detectPause(now)
 	require.True(t, s.hasDispatches(1)(), "no pause")
-	s.pauseDetector.Tick(boottime(now).Add(-3 * time.Second))
+	s.pauseDetector.Tick(boottime.At(now).Add(-3 * time.Second))
 	s.detectPause(now)
 	require.True(t, s.hasDispatches(0)())
 }
-
-// The boot time advances like the monotonic clock and does not follow the wall clock.
-func TestBoottimeIsMonotonic(t *testing.T) {
-	before := boottime(time.Now())
-	after := boottime(time.Now().Add(-time.Hour))
-	require.False(t, after.Before(before), fmt.Sprint(before, after))
-}
--- a/proof/mutations/fleet_mutations_test.go
+++ b/proof/mutations/fleet_mutations_test.go
@@ -23,7 +23,7 @@
 	{"a member list that a peer knows is not sent", "core/peering/heartbeats.go", "g.members[address].digest != digest {", "(true || g.members[address].digest != digest) {", peeringPkg, "TestMemberListsReachAllInTurns"},
 	{"few entries read the store at a start", "core/peering/start.go", "rank < startReaders<<min(waited/readRound, maxRounds)", "rank < 1000", peeringPkg, "TestWhereAllStartAtOnce"},
 	{"store calls at a start do not grow with the fleet", "core/peering/start.go", "rank < startReaders<<min(waited/readRound, maxRounds)", "rank < 1000", fleetPkg, "TestCallsOfTheStore"},
-	{"peers do not delay a starting entry", "entry/gateway/storereaders.go", "		if source != \"\" && (s.readStore(ctx) == nil || !s.sleep(storeRetryMin)) {\n			return\n		}\n", "", gatewayPkg, "TestAStartingEntryIsNotDelayedByItsPeers"},
+	{"peers do not delay a starting entry", "entry/storeread/bootstrap.go", "		if source != \"\" && (r.readStore(ctx) == nil || !r.sleep(storeRetryMin)) {\n			return\n		}\n", "", gatewayPkg, "TestAStartingEntryIsNotDelayedByItsPeers"},
 	{"a view that many peers fetch is encoded once", "entry/peerlink/viewcache.go", "ok && now.Sub(cached.at) < viewTTL {", "ok && now.Before(cached.at) {", peerlinkPkg, "TestAViewThatMany"},
 	{"one entry of a zone reads the store", "core/peering/readers.go", "	readersPerZone = 1\n", "	readersPerZone = 2\n", peeringPkg, "TestOneEntryOfAZone"},
 	{"more entries read the store over time", "core/peering/start.go", "startReaders<<min(waited/readRound, maxRounds)", "startReaders", peeringPkg, "TestWhereAllStartAtOnce"},
@@ -33,7 +33,7 @@
 	{"the wait for a source without a list is bounded", "core/peering/start.go", "now.Sub(g.listKnownSince) < time.Duration(level)*readRound", "level > 0", peeringPkg, "TestAnEntryDoesNotWait"},
 	{"a store reader counts before it serves", "core/peering/readers.go", "(!m.servingSince.IsZero() || m.store.Reads)", "!m.servingSince.IsZero()", peeringPkg, "TestReadersThatDoNotServe"},
 	{"a stopping entry is no list source", "core/peering/readers.go", "!m.isAlive(now) || m.stopping {", "!m.isAlive(now) {", peeringPkg, "TestReadersThatDoNotServe"},
-	{"the first store readers announce themselves at once", "entry/gateway/storeloop.go", "		s.peers.BroadcastState()\n", "", gatewayPkg, "TestFewEntriesReadAnEmptyStore"},
+	{"the first store readers announce themselves at once", "entry/storeread/loop.go", "		r.options.Peers.BroadcastState()\n", "", gatewayPkg, "TestFewEntriesReadAnEmptyStore"},
 	{"an empty store is read by few entries", "core/peering/readers.go", "	if m.store.Reads {\n		return m.staleness(now) <= g.readOptions.staleAfter()\n	}\n", "", fleetPkg, "TestFewReadAStoreThat"},
 	{"an entry that hears no peer keeps asking", "core/peering/start.go", "func (g *Group) NoPeerHeard() bool { return g.firstHeard.IsZero() }", "func (g *Group) NoPeerHeard() bool { return false }", peeringPkg, "TestAnEntryThatHearsNo"},
 }
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -8,6 +8,7 @@
 	routesPkg    = "arbutusdeck/core/routes"
 	gatewayPkg   = "arbutusdeck/entry/gateway"
 	peerlinkPkg  = "arbutusdeck/entry/peerlink"
+	storereadPkg = "arbutusdeck/entry/storeread"
 	platformPkg  = "arbutusdeck/platform"
 )
 
@@ -33,7 +34,7 @@
 	{"each incarnation has its own identifier", "core/directory/server.go", "	return s.ID + startTimeSeparator + strconv.FormatInt(s.StartedAtMs, startTimeBase)", "	return s.ID", gatewayPkg, "TestLoadOfAnOldIncarnationDoesNotCountForTheNext"},
 	{"no reservation is renewed at a new incarnation", "entry/gateway/reservation.go", "!first && r.s.superseded(part.server)", "false", gatewayPkg, "TestAReservationIsNotRenewed"},
 	{"a view without start times removes no server", "entry/gateway/view.go", "		if s.directory.LacksStartTime(server) {", "		if false {", gatewayPkg, "TestAPeersView"},
-	{"an unreadable row removes its server", "entry/gateway/storeloop.go", "		if rejection.Server == \"\" {", "		if true {", gatewayPkg, "TestAnUnreadableRowRemovesTheServerUntilItsNextRow"},
+	{"an unreadable row removes its server", "entry/gateway/storechanges.go", "		if rejection.Server == \"\" {", "		if true {", gatewayPkg, "TestAnUnreadableRowRemovesTheServerUntilItsNextRow"},
 	{"a row of another writer belongs to no server", "platform/configuration.go", "	if err := r.validate(); err != nil {\n		return directory.Server{}, err\n	}\n", "	_ = r.validate\n", platformPkg, "TestMalformedServerRows"},
 	{"a value that is not base64 affects no other row", "platform/store.go", "	Value    json.RawMessage\n", "	Value    []byte\n", platformPkg, "TestInvalidBase64"},
 	{"missing rows after an outage are kept for a while", "core/directory/directory.go", "	expired := afterOutage && ", "	expired := false && ", directoryPkg, "TestMissingRows"},
@@ -58,10 +59,10 @@
 	{"hosts with faster links read the store", "core/peering/ranks.go", "cmp.Compare(b.capacity, a.capacity), ", "", peeringPkg, "TestHostsWithFaster"},
 	{"a short staleness limit makes all entries read", "core/peering/readers.go", "	if !g.readOptions.AllowsSharedReads() {\n		return true", "	if false {\n		return true", peeringPkg, "TestAShortLimit"},
 	{"a pause resets liveness", "core/peering/readers.go", "		m.lastHeard, m.indirectlyHeard = time.Time{}, time.Time{}\n", "		_ = m\n", peeringPkg, "TestAStartingEntryAsks"},
-	{"a lost update is detected", "entry/gateway/storereaders.go", "!s.reading && s.revision != 0 && update.BaseRevision <= s.revision", "!s.reading && s.revision != 0", gatewayPkg, "TestALostUpdate"},
-	{"updates are contiguous", "entry/gateway/storereaders.go", "			last.UpToRevision = last.Servers[len(last.Servers)-1].Revision\n", "", gatewayPkg, "TestUpdatesAreSentInPartsWithoutGaps"},
+	{"a lost update is detected", "entry/gateway/storechanges.go", "!s.reader.Reading() && s.revision != 0 && update.BaseRevision <= s.revision", "!s.reader.Reading() && s.revision != 0", gatewayPkg, "TestALostUpdate"},
+	{"updates are contiguous", "entry/storeread/updates.go", "			last.UpToRevision = last.Servers[len(last.Servers)-1].Revision\n", "", storereadPkg, "TestUpdatesAreSentInPartsWithoutGaps"},
 	{"a later view is complete", "entry/gateway/view.go", "	if v.Revision > s.revision && !slices", "	if false && !slices", gatewayPkg, "TestALaterView"},
-	{"changes reach entries that don't read the store", "entry/gateway/storeloop.go", "	s.sendChanges(from, changes)\n", "", gatewayPkg, "TestFewEntries"},
+	{"changes reach entries that don't read the store", "entry/storeread/loop.go", "	r.sendChanges(from, changes)\n", "", gatewayPkg, "TestFewEntries"},
 	{"cross-zone placement needs more spare capacity", "core/zonerouting/crosszone.go", "return other >= own+crossZoneMargin", "return other >= 0", "arbutusdeck/core/zonerouting", "TestCrossZonePlacementNeeds"},
 	{"a zone without servers places in another zone", "entry/gateway/crosszone.go", "		if remote, ok := e.placeCrossZone(ctx, now); ok {\n", "		if remote, ok := e.placeCrossZone(ctx, now); false && ok {\n", gatewayPkg, "TestAZoneWithoutServers"},
 	{"an unreachable server is no placement", "entry/gateway/crosszone.go", "choice.Unreachable || ", "", gatewayPkg, "TestAZoneWithoutServers"},
@@ -82,7 +83,7 @@
 	{"long member lists are sent in parts", "core/peering/heartbeats.go", "const maxAddressesPerMessage = 60", "const maxAddressesPerMessage = 6000", peeringPkg, "TestAListOfHundredsOfEntriesIsSplit"},
 	{"a view is fetched within the zone", "core/peering/newer.go", "		if localOnly && m.zone != g.zone || ", "		if localOnly && false || ", peeringPkg, "TestAViewIsFetched"},
 	{"members are reported to other zones in rotation", "core/peering/remote.go", "(turn*(addressesPerRemoteHeartbeat-1)+i)%len(alive)", "(0*turn+i)%len(alive)", peeringPkg, "TestListedMembersRotate"},
-	{"a store reader relies on its own watch", "entry/gateway/storereaders.go", "!s.reading && s.revision != 0", "s.revision != 0", gatewayPkg, "TestALostUpdate"},
+	{"a store reader relies on its own watch", "entry/gateway/storechanges.go", "!s.reader.Reading() && s.revision != 0", "s.revision != 0", gatewayPkg, "TestALostUpdate"},
 	{"a placement whose memory is refused is withdrawn", "entry/gateway/attempt.go", "	e.s.trackEnd(peerlink.DispatchRef{ID: dispatchID, RemoteZones: e.s.peers.RemoteZones(choice)})\n", "	_ = peerlink.DispatchRef{ID: dispatchID}\n", gatewayPkg, "TestAPlacementWhoseReservationFailsIsCancelled"},
 	{"seed addresses are kept", "core/peering/group.go", "		if slices.Contains(g.seeds, address) {\n			continue\n		}\n", "", peeringPkg, "TestTheSize"},
 	{"delays of open responses count", "core/placement/parts.go", "c.loss + t.gapLoss(c, slowed, split)", "c.loss", placementPkg, "TestPartsKeepAwayFromShort"},
@@ -139,8 +140,8 @@
 	{"a request that may not run twice is not redispatched", "entry/gateway/stall.go", " || !e.forward.MayRedispatch()", "", gatewayPkg, "TestARequestThatMayNotRetryStaysAtAStalledServer"},
 	{"a refusal during a stop names the delay until an entry returns", "entry/gateway/shutdown.go", "	if known && wait == 0 {", "	if true {", gatewayPkg, "TestTheRetryAfterDuringShutdownIsTheNextEntrysStart"},
 	{"used memory is released", "entry/gateway/attempt.go", "		released := reservation.startRelease()\n", "		released := make(chan struct{})\n		close(released)\n", gatewayPkg, "TestAHugePrompt"},
-	{"the routing table is never replaced by an older one", "entry/gateway/storeloop.go", "current.Version() >= table.Version()", "current.Version() == table.Version()", gatewayPkg, "TestARevokedKeyStaysRevoked"},
-	{"an invalid configuration is rejected", "entry/gateway/storeloop.go", "	if err != nil {\n		s.log.WithError(err).WithFields(logrus.Fields{\"version\": definition.Version, \"source\": source}).Error(\"configuration refused; the last good one stays in force\")\n", "	if err != nil && table == nil {\n		table, _ = routes.NewTable(routes.Definition{Version: definition.Version})\n	} else if err != nil {\n", gatewayPkg, "TestARejectedConfigurationLeavesTheCurrentOne"},
+	{"the routing table is never replaced by an older one", "entry/gateway/storechanges.go", "current.Version() >= table.Version()", "current.Version() == table.Version()", gatewayPkg, "TestARevokedKeyStaysRevoked"},
+	{"an invalid configuration is rejected", "entry/gateway/storechanges.go", "	if err != nil {\n		s.log.WithError(err).WithFields(logrus.Fields{\"version\": definition.Version, \"source\": source}).Error(\"configuration refused; the last good one stays in force\")\n", "	if err != nil && table == nil {\n		table, _ = routes.NewTable(routes.Definition{Version: definition.Version})\n	} else if err != nil {\n", gatewayPkg, "TestARejectedConfigurationLeavesTheCurrentOne"},
 	{"without a configuration no request gets a 404", "entry/gateway/handler.go", "	if e.table == nil {\n		e.refuse(http.StatusServiceUnavailable", "	if e.table == nil {\n		e.refuse(http.StatusNotFound", gatewayPkg, "TestWithoutAConfiguration"},
 	{"waiting requests are answered at the stop limit", "entry/gateway/run.go", "func() { stop(errShutdownTimeout) })", "func() {})", gatewayPkg, "TestCallersGetAFinalResponseAtTheShutdownTimeout"},
 	{"the stop limit ends the wait for a body", "entry/gateway/handler.go", "	stop := e.endReadOnAbort()\n", "	stop := func() {}\n", gatewayPkg, "TestTheShutdownTimeoutEndsTheWaitForABody"},
@@ -158,7 +159,7 @@
 	{"a stop waits until memory is released", "entry/gateway/reservation.go", "	r.s.manager.Join()\n	go func() {\n		defer r.s.manager.End()\n", "	go func() {\n", gatewayPkg, "TestAShutdownWaitsForReleases"},
 	{"revisions grow across eras", "platform/store.go", "{ return era<<eraBits | revision }", "{ return 0*era | revision }", platformPkg, "TestRevisionsGrow"},
 	{"a watch from another era is rejected", "platform/store.go", "	if era != EraOf(after) {", "	if false {", gatewayPkg, "TestAStoreRestoredFromABackup"},
-	{"rows that a restored store has lost are kept", "entry/gateway/storeloop.go", "	if restored {\n		serverChanges", "	if false {\n		serverChanges", gatewayPkg, "TestAStoreRestoredFromABackup"},
+	{"rows that a restored store has lost are kept", "entry/gateway/storechanges.go", "	if restored {\n		serverChanges", "	if false {\n		serverChanges", gatewayPkg, "TestAStoreRestoredFromABackup"},
 	{"a removed server returns once its row is written again", "core/directory/directory.go", "ok && server.StartedAtMs <= removed.startedAtMs {\n			removed.revision", "ok && server.StartedAtMs < removed.startedAtMs {\n			removed.revision", gatewayPkg, "TestAStoreRestoredFromABackup"},
 	{"rows that a restored store has lost expire", "core/directory/directory.go", "		d.entries[id].markMissing(now)\n	}\n	return changes\n}\n\n// applyList", "	_ = id\n	}\n	return changes\n}\n\n// applyList", gatewayPkg, "TestAServerMissingFromARestoredStore"},
 	{"a stop waits for open requests", "entry/gateway/handler.go", "	s.manager.Join()\n	defer s.manager.End()\n", "", gatewayPkg, "TestAGracefulShutdownAbortsNothing"},
--- a/proof/soak/removal_test.go
+++ b/proof/soak/removal_test.go
@@ -42,7 +42,7 @@
 	{"nothing is cut", without("entry/gateway/handler.go", "	s.manager.Join()\n	defer s.manager.End()\n", "")},
 	{"a caller that leaves ends the work", without("entry/gateway/run.go", "context.WithCancelCause(e.r.Context())", "context.WithCancelCause(context.Background())")},
 	{"an answer or a failure in time", without("entry/gateway/run.go", "context.WithDeadline(shutdownCtx, e.deadline)", "context.WithDeadline(shutdownCtx, e.deadline.Add(9*time.Second))")},
-	{"a configuration is in force in time", without("entry/gateway/storeloop.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n")},
+	{"a configuration is in force in time", without("entry/gateway/storechanges.go", "	if changes.Configuration != nil {\n", "	if changes.Configuration != nil && s.table.Load() == nil {\n")},
 	{"a leaving server gets nothing new", without("core/directory/directory.go", "		if !d.TakesWork(known) {\n			continue\n", "		if false {\n			continue\n")},
 	{sentOn, without("entry/gateway/run.go", "		if refusal, quarantined := e.quarantined(now); quarantined {\n", "		if refusal, quarantined := e.quarantined(now); quarantined && refusal.Code == \"\" {\n")},
 	{sentOn, without("entry/gateway/crash.go", "		e.s.checkCrashLater(request, choice)\n", "")},
