Settings of an entry: a section for the decisions under overload

Cause: the parts need switches that are off in the deployments as they are. Change: five keys, false if absent; nothing reads them yet. A misspelt key is rejected with its line as before.

--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -48,11 +48,28 @@
 	LinkMbps float64 `yaml:"linkMbps" validate:"gte=0"`
 	// ReservationIdle bounds how long memory may stay reserved without use.
 	ReservationIdle config.Duration `yaml:"reservationIdle" validate:"gt=0"`
+	// Overload switches on the decisions under load that exceeds the capacity.
+	Overload Overload `yaml:"overload"`
 	// LogLevel is debug, info, warn or error; LogRate is in lines per second.
 	LogLevel string  `yaml:"logLevel" validate:"omitempty,oneof=debug info warn error"`
 	LogRate  float64 `yaml:"logRate" validate:"gte=0"`
 }
 
+// Overload selects the decisions for load that exceeds the capacity of the servers. Each is off if absent, and the
+// entry then chooses as without it.
+type Overload struct {
+	// Queueing makes requests wait at the entry while all slots are taken.
+	Queueing bool `yaml:"queueing"`
+	// Spillover sends what the own zone can't serve in time to the zones that have room for it.
+	Spillover bool `yaml:"spillover"`
+	// FairShares divides scarce capacity among workspaces by weight.
+	FairShares bool `yaml:"fairShares"`
+	// Claims keeps memory that becomes free for the prompts that wait for it.
+	Claims bool `yaml:"claims"`
+	// LearnedTimes predicts first events from what each server has shown.
+	LearnedTimes bool `yaml:"learnedTimes"`
+}
+
 // Defaults of the settings.
 const (
 	// DefaultLogRate bounds the log lines per second. A request writes two or three; an entry with
