Move start-time fair queueing into core/fairshare

Ruled out: moving the heaps of jobs too. They order the jobs of one workspace by start time, which is the scheduler's own concern.

Change: fairshare.VirtualTime holds the virtual times and the clock; scheduling.fairQueue uses it.

--- a/core/scheduling/queue.go
+++ b/core/scheduling/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/fairshare"
 )
 
 // jobHeap orders jobs by the latest start time that meets their first-token target.
@@ -47,21 +48,19 @@
 }
 
 // fairQueue is the queue of one rank of one hall. It shares the engines between
-// workspaces by start-time fair queueing: a workspace's virtual time grows with its
-// tokens served divided by its weight, and the workspace with the least goes first.
+// workspaces by start-time fair queueing of their tokens.
 type fairQueue struct {
-	heaps       map[string]*jobHeap
-	virtualTime map[string]float64
-	clock       float64
-	byArrival   []*queuedJob // in order of arrival; a removed job stays until it is first
-	count       int
+	heaps     map[string]*jobHeap
+	order     *fairshare.VirtualTime
+	byArrival []*queuedJob // in order of arrival; a removed job stays until it is first
+	count     int
 	// isolated is set if the class is isolated.
 	isolated bool
 	memory   int64 // of the waiting jobs, in tokens
 }
 
 func newFairQueue() *fairQueue {
-	return &fairQueue{heaps: map[string]*jobHeap{}, virtualTime: map[string]float64{}}
+	return &fairQueue{heaps: map[string]*jobHeap{}, order: fairshare.NewVirtualTime()}
 }
 
 func (f *fairQueue) push(q *queuedJob) {
@@ -69,9 +68,7 @@
 	if h == nil {
 		h = &jobHeap{}
 		f.heaps[q.job.Workspace] = h
-		// An idle workspace restarts at the current virtual time, so that it
-		// can't accumulate credit and then starve the others.
-		f.virtualTime[q.job.Workspace] = max(f.virtualTime[q.job.Workspace], f.clock)
+		f.order.Activate(q.job.Workspace)
 	}
 	heap.Push(h, q)
 	f.byArrival = append(f.byArrival, q)
@@ -99,17 +96,7 @@
 	}
 	if f.count == 0 {
 		f.byArrival = nil
-		f.dropIdle()
-	}
-}
-
-// dropIdle drops virtual times that are not ahead of the clock: an idle workspace
-// restarts at the clock anyway.
-func (f *fairQueue) dropIdle() {
-	for workspace, virtual := range f.virtualTime {
-		if virtual <= f.clock {
-			delete(f.virtualTime, workspace)
-		}
+		f.order.DropIdle()
 	}
 }
 
@@ -126,7 +113,7 @@
 func (f *fairQueue) leastServed() *queuedJob {
 	var best string
 	for workspace := range f.heaps {
-		if best == "" || f.less(workspace, best) {
+		if best == "" || f.order.Less(workspace, best) {
 			best = workspace
 		}
 	}
@@ -136,18 +123,9 @@
 	return f.heaps[best].jobs[0]
 }
 
-func (f *fairQueue) less(x, y string) bool {
-	if f.virtualTime[x] != f.virtualTime[y] {
-		return f.virtualTime[x] < f.virtualTime[y]
-	}
-	return x < y
-}
-
 // charge advances the virtual time of a dispatched job's workspace.
 func (f *fairQueue) charge(job *Job) {
-	start := max(f.virtualTime[job.Workspace], f.clock)
-	f.clock = start
-	f.virtualTime[job.Workspace] = start + float64(job.PromptTokens+job.AnswerTokens)/max(job.Weight, 0.01)
+	f.order.Charge(job.Workspace, job.PromptTokens+job.AnswerTokens, job.Weight)
 }
 
 // next returns the job to dispatch first, or nil. A job that has waited longer than
