Weights of workspaces in the routes' configuration

Cause: fair shares are divided by weight, and a workspace had none.

Ruled out: an integer weight like that of a share of a service; operators scale one customer by a fraction without rewriting the others.

Change: routes.Workspace.Weight (json weight, omitted if 0), 0 means 1. NewTable rejects a negative or not finite weight and names its position; Table.Weights returns the weights by name.

Conclusion: the platform sets no weight yet, so nothing changes.

--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -3,7 +3,9 @@
 package routes
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -70,6 +72,8 @@
 	APIKeys []string `json:"apiKeys"`
 	// Priority, if set, overrides the route's.
 	Priority *int `json:"priority,omitempty"`
+	// Weight is the workspace's share of the capacity relative to others while there isn't enough for all; 0 means 1.
+	Weight float64 `json:"weight,omitempty"`
 }
 
 // Definition is a complete configuration as it is read and passed between daemons.
@@ -100,6 +104,9 @@
 	}
 	for i := range t.definition.Workspaces {
 		workspace := &t.definition.Workspaces[i]
+		if workspace.Weight < 0 || math.IsNaN(workspace.Weight) || math.IsInf(workspace.Weight, 0) {
+			return nil, fmt.Errorf("workspaces[%d] %s: weight %g: give a finite number that is not negative", i, workspace.Name, workspace.Weight)
+		}
 		for _, key := range workspace.APIKeys {
 			t.keys[key] = workspace
 		}
@@ -191,6 +198,16 @@
 	return nil
 }
 
+// Weights returns the weights of the workspaces by name.
+func (t *Table) Weights() map[string]float64 {
+	weights := make(map[string]float64, len(t.definition.Workspaces))
+	for i := range t.definition.Workspaces {
+		workspace := &t.definition.Workspaces[i]
+		weights[workspace.Name] = cmp.Or(workspace.Weight, 1)
+	}
+	return weights
+}
+
 // WorkspaceOf returns the workspace that holds an API key, or nil.
 func (t *Table) WorkspaceOf(key string) *Workspace { return t.keys[key] }
 
--- a/core/routes/table_test.go
+++ b/core/routes/table_test.go
@@ -1,6 +1,8 @@
 package routes
 
 import (
+	"encoding/json"
+	"math"
 	"testing"
 	"time"
 
@@ -18,7 +20,7 @@
 		Version:    3,
 		Routes:     []Route{route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/")},
 		Services:   []Service{{Name: "orders"}, {Name: "orders-new"}},
-		Workspaces: []Workspace{{Name: "press", APIKeys: []string{"k1", "k2"}}},
+		Workspaces: []Workspace{{Name: "press", APIKeys: []string{"k1", "k2"}}, {Name: "proof", APIKeys: []string{"k4"}, Weight: 2.5}},
 	}
 }
 
@@ -74,6 +76,9 @@
 		{func(d *Definition) { d.Routes[2].Shares = nil }, "routes[2] other: shares"},
 		{func(d *Definition) { d.Routes[2].Shares[0].Service = "none" }, `no service is named "none"`},
 		{func(d *Definition) { d.Services[0].Name = "" }, "services[0]: give the service a name"},
+		{func(d *Definition) { d.Workspaces[1].Weight = -1 }, "workspaces[1] proof: weight -1"},
+		{func(d *Definition) { d.Workspaces[1].Weight = math.NaN() }, "workspaces[1] proof: weight NaN"},
+		{func(d *Definition) { d.Workspaces[0].Weight = math.Inf(1) }, "workspaces[0] press: weight +Inf"},
 	} {
 		d := definition()
 		c.change(&d)
@@ -81,3 +86,13 @@
 		require.ErrorContains(t, err, c.want)
 	}
 }
+
+// Failure: a workspace without a weight, as in configurations of older platforms, gets no share at all.
+func TestAWorkspaceWithoutAWeightHasWeightOne(t *testing.T) {
+	table, err := NewTable(definition())
+	require.NoError(t, err)
+	require.Equal(t, map[string]float64{"press": 1, "proof": 2.5}, table.Weights())
+	encoded, err := json.Marshal(definition().Workspaces[0])
+	require.NoError(t, err)
+	require.NotContains(t, string(encoded), "weight")
+}
