The load table reports what dispatches use, by workspace

Cause: an account of usage by workspace needs what each dispatch of the zone used, and a dispatch named no workspace.

Ruled out: reporting at the end only. A flood's first requests would be free for as long as they last; ReportUsage reports what is held so far. Charging the whole prompt at the begin: an attempt that its server refuses at once would cost as much as one that ran.

Change: Dispatch.Workspace (CBOR 10), fairshare.Hash and Cost, LoadTable.ObserveUsage and ReportUsage. Own dispatches and those of peers are reported alike, each use once; one whose end is lost counts for its lifetime at most. Without an observer nothing is computed.

Conclusion: no decision depends on it yet. What the estimate leaves out: prefill of an attempt that ends before its first event is the predicted one, memory includes the expected answer from the begin, and time in a server's own queue counts as slot time.

--- a/core/placement/dispatch.go
+++ b/core/placement/dispatch.go
@@ -24,6 +24,8 @@
 	Target time.Duration `cbor:"8,keyasint,omitempty"`
 	// Lifetime bounds how long the request may last from now on.
 	Lifetime time.Duration `cbor:"9,keyasint,omitempty"`
+	// Workspace is fairshare.Hash of the workspace's name; 0 if the request has none or the entry doesn't report it.
+	Workspace uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Bounds of the values in a dispatch.
--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -55,6 +55,11 @@
 	predicted time.Duration
 	// answering is set once the first event has come.
 	answering bool
+	// prefillMs is the predicted prefill of all parts, in milliseconds.
+	prefillMs float64
+	// reported is the time up to which the held slot and memory were reported as usage.
+	reported        time.Time
+	prefillReported bool
 }
 
 // LoadTable records the dispatches that are in progress and predicts each server's load from them. It is not
@@ -67,6 +72,8 @@
 	// lifetime is over.
 	ended   map[string]time.Time
 	packing packing
+	// observeUsage is told what dispatches use; nil if nobody is.
+	observeUsage func(now time.Time, u Usage)
 }
 
 // NewLoadTable returns an empty load table.
@@ -110,7 +117,7 @@
 	if _, ended := t.ended[d.ID]; ended || t.active[d.ID] != nil {
 		return
 	}
-	a.began, a.expires = now, now.Add(d.Lifetime)
+	a.began, a.reported, a.expires = now, now, now.Add(d.Lifetime)
 	t.active[d.ID] = a
 	for index, id := range append([]string{d.Server}, d.Helpers...) {
 		s := t.server(id, engine)
@@ -120,6 +127,7 @@
 		if engine != nil && d.PromptTokens > 0 {
 			w.prefillMs = engine.PrefillMs(d.PromptTokens, d.parts()) * s.health.slowdown()
 		}
+		a.prefillMs += w.prefillMs
 		s.workItems = append(s.workItems, w)
 		if engine != nil && index == 0 {
 			t.packing.observe(s.requests(), engine.Slots)
@@ -134,6 +142,9 @@
 		return
 	}
 	a.answering = true
+	if t.observeUsage != nil {
+		t.reportPrefill(now, a, 1)
+	}
 	for index, name := range append([]string{a.dispatch.Server}, a.dispatch.Helpers...) {
 		s := t.servers[name]
 		if s == nil {
@@ -170,6 +181,7 @@
 		return
 	}
 	delete(t.active, id)
+	t.reportEnd(now, a)
 	for _, name := range append([]string{a.dispatch.Server}, a.dispatch.Helpers...) {
 		if s := t.servers[name]; s != nil {
 			s.advance(now)
