--- a/core/fairshare/virtualtime_test.go
+++ b/core/fairshare/virtualtime_test.go
@@ -28,6 +28,19 @@
 	require.GreaterOrEqual(t, served, 5)
 }
 
+// Failure: of two workspaces that were idle, the one that was served less long ago goes first.
+func TestIdleWorkspacesRestartAtTheSameVirtualTime(t *testing.T) {
+	v := NewVirtualTime()
+	v.Charge("a", 2000, 1)
+	v.Charge("z", 1000, 1)
+	for range 100 {
+		v.Charge("steady", 1000, 1)
+	}
+	v.Activate("z")
+	v.Activate("a")
+	require.True(t, v.Less("a", "z"), "equal virtual times are ordered by name")
+}
+
 // Failure: virtual times of workspaces that are gone are kept for ever.
 func TestIdleVirtualTimesAreDropped(t *testing.T) {
 	v := NewVirtualTime()
--- a/core/placement/usage.go
+++ b/core/placement/usage.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"arbutusdeck/core/fairshare"
@@ -28,8 +30,9 @@
 	if t.observeUsage == nil {
 		return
 	}
-	for _, a := range t.active {
-		t.reportHeld(now, a)
+	// In a fixed order, since sums of floating-point numbers depend on it.
+	for _, id := range slices.Sorted(maps.Keys(t.active)) {
+		t.reportHeld(now, t.active[id])
 	}
 }
 
