A zone's usage that is overtaken or old is merged as what it is

Cause: Ledger.Merge took a report with a time in the past for a current one, and let a report that was overtaken replace a newer one.

Ruled out: an age as a further argument; the time of the usage says the same.

Change: usage decays from the time of the report, and earlier reports are ignored. The test of room for all has one workspace at 0.63 of the capacity, above its half.

--- a/core/fairshare/ledger.go
+++ b/core/fairshare/ledger.go
@@ -262,7 +262,7 @@
 	for zone, z := range l.zones {
 		if now.Sub(z.at) > l.options.MaxAge {
 			delete(l.zones, zone)
-			l.sumZones(now)
+			l.sumZones()
 		}
 	}
 }
@@ -333,24 +333,25 @@
 	return uses
 }
 
-// Merge records the usage of another zone as it was at a time, in place of what that zone reported before. It counts
-// beside the usage in this zone until it is older than MaxAge.
-func (l *Ledger) Merge(now time.Time, zone string, uses []Use) {
-	l.advance(now)
-	if _, ok := l.zones[zone]; !ok && len(l.zones) >= maxZones {
+// Merge records the usage of another zone as it was at a time, which may be in the past, in place of what that zone
+// reported for an earlier time. It counts beside the usage in this zone until it is older than MaxAge.
+func (l *Ledger) Merge(asOf time.Time, zone string, uses []Use) {
+	l.advance(asOf)
+	known, ok := l.zones[zone]
+	if ok && asOf.Before(known.at) || !ok && len(l.zones) >= maxZones {
 		return
 	}
-	l.zones[zone] = zoneUse{now, slices.Clone(uses[:min(len(uses), maxZoneUses)])}
-	l.refresh(now)
-	l.sumZones(now)
+	l.zones[zone] = zoneUse{asOf, slices.Clone(uses[:min(len(uses), maxZoneUses)])}
+	l.refresh(l.at)
+	l.sumZones()
 }
 
 // sumZones adds up the usage of the other zones, decayed since their reports.
-func (l *Ledger) sumZones(now time.Time) {
+func (l *Ledger) sumZones() {
 	clear(l.elsewhere)
 	for _, name := range slices.Sorted(maps.Keys(l.zones)) {
 		z := l.zones[name]
-		factor := math.Exp2(-now.Sub(z.at).Seconds() / l.options.HalfLife.Seconds())
+		factor := math.Exp2(-l.at.Sub(z.at).Seconds() / l.options.HalfLife.Seconds())
 		for _, use := range z.uses {
 			l.elsewhere[use.Workspace] += l.capacityTime(use.resources()) * factor
 		}
--- a/core/fairshare/ledger_test.go
+++ b/core/fairshare/ledger_test.go
@@ -148,6 +148,18 @@
 	require.InDelta(t, before, l.Normalized(now.Add(2*time.Second), "both"), 0.02)
 }
 
+// Failure: a report that was overtaken replaces a newer one, or the age of a report isn't counted.
+func TestOlderUsageOfAZoneIsIgnored(t *testing.T) {
+	l := zoneLedger()
+	l.Ask(start, "a")
+	use := []Use{{Hash("a"), slots(100)}}
+	l.Merge(start.Add(-time.Second), "b", use)
+	require.InEpsilon(t, math.Exp2(-0.2), l.elsewhere[Hash("a")], 1e-9)
+	l.Merge(start, "b", nil)
+	l.Merge(start.Add(-time.Second), "b", use)
+	require.Zero(t, l.elsewhere[Hash("a")])
+}
+
 func TestTopIsTheUsageOfTheBusiest(t *testing.T) {
 	l := zoneLedger()
 	for i := range 5 {
--- a/core/fairshare/sharing_test.go
+++ b/core/fairshare/sharing_test.go
@@ -315,7 +315,7 @@
 func TestWithRoomForAllNobodyIsHeldBack(t *testing.T) {
 	t.Parallel()
 	loads := steady()[:2]
-	loads[0].perSecond = 128
+	loads[0].perSecond = 160 // of 256, half of which is its share
 	with := run(true, nil, loads...)
 	require.InEpsilon(t, with.offered["w0"], with.inTime["w0"], 0.01)
 	require.LessOrEqual(t, lost(t, run(false, nil, loads...), with, loads), 0.0)
