Add core/waiting, first form: promised requests, kept ones and reports

Cause: requests beyond the slots queue at servers, where late answers take the slots of the next ones.

--- /dev/null
+++ b/core/waiting/peers.go
@@ -0,0 +1,112 @@
+package waiting
+
+import (
+	"time"
+)
+
+// peer is what a peer has reported, with times by the own clock.
+type peer struct {
+	name           string
+	promised, kept int
+	head, last     time.Time
+	at             time.Time
+}
+
+// Report returns the state of the queue for the peers, as of the latest call of Offer or Next.
+func (q *Queue) Report(now time.Time) Report {
+	r := Report{Service: q.options.Service, Promised: len(q.promised), Kept: q.kept()}
+	if len(q.promised) > 0 {
+		r.Head = millis(q.promised[0].key.Sub(now))
+		r.Last = millis(q.promised[len(q.promised)-1].key.Sub(now))
+	}
+	return r
+}
+
+// millis returns a rank key within the bounds of a report.
+func millis(d time.Duration) int64 {
+	return min(max(d.Milliseconds(), -maxRankMillis), maxRankMillis)
+}
+
+// ObservePeer records a report; one that is invalid or on another service is ignored.
+func (q *Queue) ObservePeer(now time.Time, from string, r Report) {
+	if r.Check() != nil || r.Service != q.options.Service {
+		return
+	}
+	q.peers[from] = peer{name: from, promised: r.Promised, kept: r.Kept, at: now,
+		head: now.Add(time.Duration(r.Head) * time.Millisecond), last: now.Add(time.Duration(r.Last) * time.Millisecond)}
+}
+
+// ForgetPeer removes the report of a peer that stops or has restarted.
+func (q *Queue) ForgetPeer(from string) { delete(q.peers, from) }
+
+// before returns the number of the peer's promised requests that go before a key, spread evenly between the first and
+// the last one.
+func (p *peer) before(key time.Time, own string) int {
+	switch {
+	case p.promised == 0 || key.Before(p.head) || key.Equal(p.head) && own < p.name:
+		return 0
+	case key.After(p.last) || p.promised == 1:
+		return p.promised
+	}
+	span := p.last.Sub(p.head)
+	if span <= 0 {
+		return p.promised
+	}
+	return min(1+int(float64(p.promised-1)*key.Sub(p.head).Seconds()/span.Seconds()), p.promised)
+}
+
+// peersBefore returns the number of the peers' promised requests that go before a key.
+func (q *Queue) peersBefore(key time.Time) int {
+	sum := 0
+	for _, p := range q.peers {
+		sum += p.before(key, q.options.Entry)
+	}
+	return sum
+}
+
+// outranked reports whether the first request of a peer precedes a key by more than messages are delayed.
+func (q *Queue) outranked(key time.Time) bool {
+	for _, p := range q.peers {
+		if p.promised > 0 && p.head.Before(key.Add(-2*q.options.Stagger)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) peersPromised() int {
+	sum := 0
+	for _, p := range q.peers {
+		sum += p.promised
+	}
+	return sum
+}
+
+// peersKept returns the number of requests that the peers keep.
+func (q *Queue) peersKept(now time.Time) int {
+	sum := 0
+	for _, p := range q.peers {
+		if now.Sub(p.at) <= q.options.ReportLifetime {
+			sum += p.kept
+		}
+	}
+	return sum
+}
+
+// keptPosition returns the position of the own kept request of this index among those of all entries, which take
+// turns by the share of each.
+func (q *Queue) keptPosition(index int) int {
+	total, entries, lower := q.kept(), 1, 0
+	for name, p := range q.peers {
+		if p.kept == 0 {
+			continue
+		}
+		total += p.kept
+		entries++
+		if name < q.options.Entry {
+			lower++
+		}
+	}
+	phase := float64(lower) / float64(entries)
+	return int((float64(index) + phase) * float64(total) / float64(q.kept()))
+}
--- /dev/null
+++ b/core/waiting/queue.go
@@ -0,0 +1,333 @@
+package waiting
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Queue holds the requests that wait at this entry for a slot of one service. It is not safe for concurrent use.
+type Queue struct {
+	options Options
+	waiting map[string]*entrant
+	bytes   int64
+	// granted holds the requests that were started and have not left, with their start times: the load table doesn't
+	// count them yet.
+	granted map[string]time.Time
+	evicted []Refused
+	peers   map[string]peer
+	kinds   kinds
+	// fresh holds the requests that can still be in time, late the others in the order of their start.
+	fresh, late []*entrant
+	// promised and spare divide fresh, in the order of their start, as of the latest arrangement.
+	promised, spare []*entrant
+	// nextEnd is a lower bound of the time at which the first waiting request becomes hopeless; zero if none waits.
+	nextEnd time.Time
+	// released holds the times at which requests of this entry gave up their slots, within the last stagger.
+	released []time.Time
+	// freeSince is the time since which slots are free without a start here; zero while none is free.
+	freeSince time.Time
+}
+
+// entrant is a waiting request.
+type entrant struct {
+	Ticket
+	// key ranks promised requests among entries; factor is the usage and priority in it.
+	key    time.Time
+	factor float64
+	// claim is the preference for the request where not all can be in time.
+	claim float64
+}
+
+// New returns an empty queue.
+func New(options Options) *Queue {
+	return &Queue{options: options, waiting: map[string]*entrant{}, granted: map[string]time.Time{}, peers: map[string]peer{}, kinds: kinds{}}
+}
+
+// Len returns the number of waiting requests, Bytes the memory that they take.
+func (q *Queue) Len() int     { return len(q.waiting) }
+func (q *Queue) Bytes() int64 { return q.bytes }
+
+// Offer enqueues a request or refuses it.
+func (q *Queue) Offer(now time.Time, t Ticket, s Supply) Verdict {
+	if t.hopeless(now) {
+		return Verdict{RetryAfter: s.HoldTime, Reason: TooLate}
+	}
+	if q.waiting[t.ID] != nil {
+		return Verdict{Wait: true}
+	}
+	e := &entrant{Ticket: t}
+	if _, again := q.granted[t.ID]; !again {
+		q.kinds.offered(now, &e.Ticket)
+	}
+	delete(q.granted, t.ID)
+	q.add(e)
+	q.arrange(now, s)
+	if reason := q.excess(now, e, s); reason != "" {
+		q.remove(t.ID)
+		return Verdict{RetryAfter: q.retryAfter(now, &e.Ticket, s), Reason: reason}
+	}
+	q.evict(now, s)
+	return Verdict{Wait: true}
+}
+
+// excess returns the reason to refuse a request that was just added; empty if it may stay.
+func (q *Queue) excess(now time.Time, e *entrant, s Supply) Reason {
+	promised := slices.Contains(q.promised, e)
+	if q.overBounds() && (!promised || !q.fitsWithoutKept()) {
+		return QueueFull
+	}
+	if promised || q.startsNow(s) {
+		return ""
+	}
+	// A request that would be late is kept only if it can be served, with those kept before it, well within its time.
+	served := time.Duration(q.kept()+q.peersKept(now)) * s.interval()
+	if served > time.Duration(q.options.KeepShare*float64(e.Deadline.Sub(now))) || q.options.KeepShare == 0 {
+		return Overloaded
+	}
+	return ""
+}
+
+// startsNow reports whether there are free slots for all that wait here.
+func (q *Queue) startsNow(s Supply) bool { return s.Free-len(q.granted) >= len(q.waiting) }
+
+// Leave removes a request whose caller is gone, or that was started and is placed now or has ended.
+func (q *Queue) Leave(id string) {
+	delete(q.granted, id)
+	q.remove(id)
+}
+
+// Stop removes all waiting requests and returns their refusals: none was run.
+func (q *Queue) Stop(now time.Time, s Supply) []Refused {
+	refused := q.takeEvicted()
+	for _, id := range slices.Sorted(maps.Keys(q.waiting)) {
+		refused = append(refused, q.refuse(now, q.waiting[id], s, Stopping))
+	}
+	return refused
+}
+
+// Next returns the requests to start and to refuse now. It is called when a slot becomes free, after an offer that
+// waits, when a peer's report arrives, and after Plan.Wake.
+func (q *Queue) Next(now time.Time, s Supply) Plan {
+	plan := Plan{Refuse: q.takeEvicted()}
+	q.expire(now, s)
+	plan.Refuse = append(plan.Refuse, q.refuseHopeless(now, s)...)
+	q.arrange(now, s)
+	free := s.Free - len(q.granted)
+	q.observeFree(now, free)
+	start := q.starters(now, free)
+	for _, e := range start {
+		plan.Start = append(plan.Start, e.ID)
+		if e.inTime(now) {
+			q.kinds.served(now, &e.Ticket)
+		}
+		q.remove(e.ID)
+		q.granted[e.ID] = now
+	}
+	if len(start) > 0 {
+		q.freeSince = now
+		q.released = q.released[min(len(start), len(q.released)):]
+	}
+	plan.Wake = q.wake(now, free-len(start))
+	return plan
+}
+
+// Released records that a request of this entry has given up its slot. It is called before Next.
+func (q *Queue) Released(now time.Time) {
+	q.expireReleased(now)
+	q.released = append(q.released, now)
+}
+
+func (q *Queue) expireReleased(now time.Time) {
+	q.released = slices.DeleteFunc(q.released, func(at time.Time) bool { return now.Sub(at) >= q.options.Stagger })
+}
+
+func (q *Queue) refuseHopeless(now time.Time, s Supply) []Refused {
+	if q.nextEnd.IsZero() || now.Before(q.nextEnd) {
+		return nil
+	}
+	q.nextEnd = time.Time{}
+	var refused []Refused
+	for _, id := range slices.Sorted(maps.Keys(q.waiting)) {
+		e := q.waiting[id]
+		if e.hopeless(now) {
+			refused = append(refused, q.refuse(now, e, s, TooLate))
+			continue
+		}
+		q.observeEnd(e)
+	}
+	return refused
+}
+
+func (q *Queue) observeEnd(e *entrant) {
+	if end := e.Deadline.Add(-e.FirstEvent + 1); q.nextEnd.IsZero() || end.Before(q.nextEnd) {
+		q.nextEnd = end
+	}
+}
+
+// expire drops what was left by peers that are gone, and starts that were never followed by Leave.
+func (q *Queue) expire(now time.Time, s Supply) {
+	maps.DeleteFunc(q.peers, func(_ string, p peer) bool { return now.Sub(p.at) > q.options.ReportLifetime })
+	if s.HoldTime > 0 {
+		maps.DeleteFunc(q.granted, func(_ string, at time.Time) bool { return now.Sub(at) > s.HoldTime })
+	}
+}
+
+// observeFree records since when slots are free.
+func (q *Queue) observeFree(now time.Time, free int) {
+	switch {
+	case free <= 0:
+		q.freeSince = time.Time{}
+	case q.freeSince.IsZero():
+		q.freeSince = now
+	}
+}
+
+// starters returns the requests whose turn it is. The position of a request counts those that go before it, here and
+// at the peers. Each stagger for which slots stay free moves all requests up by one, so that a report that is lost or
+// out of date delays a start by its count of staggers at most.
+//
+// A slot that a request of this entry gave up is used here, regardless of the position, unless a peer's request has
+// clearly waited longer: the peers hear of the new request before they hear of the end, so that nobody competes. At
+// slots that become free as often as messages arrive, positions alone had up to a quarter of the requests meet at full
+// servers.
+func (q *Queue) starters(now time.Time, free int) []*entrant {
+	var start []*entrant
+	reach := free + q.patience(now)
+	if q.options.Stagger == 0 {
+		reach = math.MaxInt
+	}
+	q.expireReleased(now)
+	own := len(q.released)
+	take := func(e *entrant, position int, yields bool) bool {
+		switch {
+		case len(start) >= free:
+			return false
+		case position < reach:
+		case own > 0 && !yields:
+			own--
+		default:
+			return false
+		}
+		start = append(start, e)
+		return true
+	}
+	for i, e := range q.promised {
+		if !take(e, i+q.peersBefore(e.key), q.outranked(e.key)) {
+			return start
+		}
+	}
+	peers := q.peersPromised()
+	for i := range q.kept() {
+		if !take(q.keptAt(i), len(q.promised)+peers+q.keptPosition(i), peers > 0) {
+			return start
+		}
+	}
+	return start
+}
+
+// kept returns the number of waiting requests that aren't promised to be in time.
+func (q *Queue) kept() int { return len(q.spare) + len(q.late) }
+
+func (q *Queue) keptAt(i int) *entrant {
+	if i < len(q.spare) {
+		return q.spare[i]
+	}
+	return q.late[i-len(q.spare)]
+}
+
+// patience returns the number of staggers for which slots have been free.
+func (q *Queue) patience(now time.Time) int {
+	if q.options.Stagger <= 0 || q.freeSince.IsZero() {
+		return 0
+	}
+	return int(min(now.Sub(q.freeSince)/q.options.Stagger, maxReported))
+}
+
+// wake returns the time after which something changes without an event.
+func (q *Queue) wake(now time.Time, free int) time.Duration {
+	if len(q.waiting) == 0 {
+		return 0
+	}
+	next := time.Duration(0)
+	consider := func(d time.Duration) {
+		if d = max(d, time.Millisecond); next == 0 || d < next {
+			next = d
+		}
+	}
+	consider(q.nextEnd.Sub(now) + time.Millisecond)
+	if free > 0 && q.options.Stagger > 0 {
+		consider(q.freeSince.Add(time.Duration(q.patience(now)+1) * q.options.Stagger).Sub(now))
+	}
+	return next
+}
+
+func (q *Queue) add(e *entrant) {
+	q.waiting[e.ID] = e
+	q.fresh = append(q.fresh, e)
+	q.bytes += e.Bytes
+	q.observeEnd(e)
+}
+
+func (q *Queue) remove(id string) {
+	e := q.waiting[id]
+	if e == nil {
+		return
+	}
+	delete(q.waiting, id)
+	q.bytes -= e.Bytes
+	for _, list := range []*[]*entrant{&q.fresh, &q.late, &q.promised, &q.spare} {
+		if i := slices.Index(*list, e); i >= 0 {
+			*list = slices.Delete(*list, i, i+1)
+		}
+	}
+}
+
+func (q *Queue) refuse(now time.Time, e *entrant, s Supply, reason Reason) Refused {
+	q.remove(e.ID)
+	return Refused{ID: e.ID, RetryAfter: q.retryAfter(now, &e.Ticket, s), Reason: reason}
+}
+
+func (q *Queue) takeEvicted() []Refused {
+	evicted := q.evicted
+	q.evicted = nil
+	return evicted
+}
+
+func (q *Queue) overBounds() bool {
+	return q.options.MaxWaiting > 0 && len(q.waiting) > q.options.MaxWaiting || q.options.MaxBytes > 0 && q.bytes > q.options.MaxBytes
+}
+
+// fitsWithoutKept reports whether the promised requests alone are within the bounds.
+func (q *Queue) fitsWithoutKept() bool {
+	bytes := int64(0)
+	for _, e := range q.promised {
+		bytes += e.Bytes
+	}
+	return (q.options.MaxWaiting <= 0 || len(q.promised) <= q.options.MaxWaiting) && (q.options.MaxBytes <= 0 || bytes <= q.options.MaxBytes)
+}
+
+// evict refuses kept requests, the last in order first, until the queue is within its bounds.
+func (q *Queue) evict(now time.Time, s Supply) {
+	for q.overBounds() && q.kept() > 0 {
+		q.evicted = append(q.evicted, q.refuse(now, q.keptAt(q.kept()-1), s, QueueFull))
+	}
+}
+
+// retryShare is the share of its remaining time up to which a caller honours Retry-After.
+const retryShare = 1.0 / 3
+
+// retryAfter returns the time at which a refused caller should return: between the time in which all that wait now
+// are served and the last one that it honours. Callers that are refused together are spread over that time.
+func (q *Queue) retryAfter(now time.Time, t *Ticket, s Supply) time.Duration {
+	latest := time.Duration(retryShare * float64(t.Deadline.Sub(now)))
+	if latest <= 0 {
+		return s.HoldTime
+	}
+	others := q.peersPromised() + q.peersKept(now)
+	drained := max(time.Duration(len(q.waiting)+others)*s.interval(), s.interval())
+	// At least half of the time is for the spread, also where the queue will not be empty by then.
+	earliest := min(drained, latest/2)
+	return earliest + time.Duration(t.Draw*float64(latest-earliest))
+}
