Use no placement of another zone that is later than the own one

Cause (review of core/spillover): the asked entry admits a request by its free slots. A long prompt whose own zone is late by little could go to a zone with free slots and more queued prefill, and be later there. Choose knows the queued prefill only as of the summary; the reply has the predicted time of the actual choice, which nothing compared.

Change: Spillover.Prefers compares both. Dispatch.Zone (CBOR 11) names the zone that sent a request to another one: a relay passes dispatches on under its own name and without Message.Relay, so that the entries behind it can't tell them from those of their own callers, and would count them as their zone's demand. Messages that hold only summaries, the rest of a heartbeat, count as heartbeats in the traffic.

Ruled out: refusal by the asked entry, which doesn't know what the asker's zone offers.

--- a/core/peering/codec_test.go
+++ b/core/peering/codec_test.go
@@ -99,4 +99,6 @@
 	} {
 		require.Equal(t, kind, m.Kind())
 	}
+	rest := Message{ZoneSummaries: []ZoneSummary{{Zone: "b"}}}
+	require.Equal(t, KindHeartbeat, rest.Kind(), "summaries that didn't fit a heartbeat")
 }
--- a/core/peering/kind.go
+++ b/core/peering/kind.go
@@ -29,7 +29,7 @@
 		return KindEvents
 	case m.EntryCount > 0:
 		return KindRemoteHeartbeat
-	case m.Digest != 0:
+	case m.Digest != 0, len(m.ZoneSummaries) > 0:
 		return KindHeartbeat
 	case len(m.Members) > 0:
 		return KindList
--- a/core/placement/dispatch.go
+++ b/core/placement/dispatch.go
@@ -24,6 +24,9 @@
 	Target time.Duration `cbor:"8,keyasint,omitempty"`
 	// Lifetime bounds how long the request may last from now on.
 	Lifetime time.Duration `cbor:"9,keyasint,omitempty"`
+	// Zone is the zone of the entry that sent the request, given only where the server is in another one and the
+	// entry takes part in spillover.
+	Zone string `cbor:"11,keyasint,omitempty"`
 }
 
 // Bounds of the values in a dispatch.
--- a/core/spillover/spillover.go
+++ b/core/spillover/spillover.go
@@ -249,5 +249,12 @@
 	return !offered.Refused && float64(own.FreeSlots)-s.reserve(own) >= 1
 }
 
+// Prefers reports whether a placement that another zone offers, with its predicted time to the first event there, is
+// better than that of the own zone, once the request has been sent there. A zone that has slots may still have long
+// prompts queued.
+func (s *Spillover) Prefers(own Placement, zone string, predicted time.Duration) bool {
+	return own.Refused || s.zone(zone).responseTime(s.options.ReplyTimeout)+predicted < own.Predicted
+}
+
 // ObserveReceived records that the own zone took a request of another one, by this entry or by a local one.
 func (s *Spillover) ObserveReceived(now time.Time, from string) { s.zone(from).receivedAt = now }
--- a/core/spillover/spillover_test.go
+++ b/core/spillover/spillover_test.go
@@ -248,3 +248,15 @@
 	require.Equal(t, "c", s.Choose(now.Add(999*millisecond), refusedHere(zoneWith("b", roomy), zoneWith("c", roomy))).Zone)
 	require.Equal(t, "b", s.Choose(now.Add(time.Second), refusedHere(zoneWith("b", roomy))).Zone)
 }
+
+// Guards against a late prompt that becomes later: a zone with slots may have more prefill queued than its own.
+func TestAPlacementThatIsNoSoonerIsNotPreferred(t *testing.T) {
+	s := New(options)
+	own := Placement{Predicted: 500 * millisecond}
+	require.True(t, s.Prefers(own, "b", 500*millisecond-options.ReplyTimeout-1))
+	require.False(t, s.Prefers(own, "b", 500*millisecond-options.ReplyTimeout), "the request takes its time to get there")
+	require.True(t, s.Prefers(Placement{Refused: true}, "b", time.Minute))
+	s.Sent(now, "1", "b", "b-1", Need{})
+	s.Replied(now.Add(2*millisecond), "1", true)
+	require.True(t, s.Prefers(own, "b", 490*millisecond), "the time is that of the zone's replies")
+}
--- a/proof/mutations/spillover_mutations_test.go
+++ b/proof/mutations/spillover_mutations_test.go
@@ -37,6 +37,7 @@
 	{"a lost reply counts as used", "core/spillover/account.go", "		if asked.lost && asked.at.Before(lostSince) {", "		if asked.lost {", spilloverPkg, "TestALostReply"},
 	{"a lost reply counts as used only until the next summary", "core/spillover/account.go", "			delete(s.asks, id)\n			continue\n", "			_ = id\n", spilloverPkg, "TestLostRepliesLeave|TestALostReply"},
 	{"an entry that does not reply is asked last", "core/spillover/account.go", "		s.silent[asked.entry] = now\n", "", spilloverPkg, "TestAnEntryThatDoesNotReply"},
+	{"a placement that is no sooner is not used", "core/spillover/spillover.go", "+predicted < own.Predicted\n", "+predicted < time.Hour\n", spilloverPkg, "TestAPlacementThatIsNoSooner"},
 	{"a zone keeps a reserve", "core/spillover/spillover.go", "float64(own.FreeSlots)-s.reserve(own) >= 1", "own.FreeSlots >= 1", spilloverPkg, "TestTwoZonesThatFill"},
 	{"other zones respect the reserve", "core/spillover/spillover.go", "	slots := float64(state.FreeSlots) - s.reserve(state)\n", "	slots := float64(state.FreeSlots)\n", spilloverPkg, "TestZonesThatAreNotAsked"},
 	{"uneven demand is spread", "core/spillover/spillover.go", "	if best.Reason != Ask {\n		best.Zone = \"\"\n	}\n", "	best.Zone = \"\"\n", spilloverPkg, "TestUnevenDemand"},
