Send no negative age of a zone's state

Cause: a heartbeat of another zone that is handled after the time of a local heartbeat was taken, and before that is filled, gave an age of -1 ms or less. Recipients reject such a message as a whole, so that all local entries missed a heartbeat of the delegate.

Ruled out: accepting negative ages, which later entries could do, but earlier ones don't.

Change: the age is at least 0. The test fails without the change (age is -3 ms).

--- a/core/peering/remote.go
+++ b/core/peering/remote.go
@@ -256,7 +256,10 @@
 		if known == nil || known.lastDirect.IsZero() || now.Sub(known.lastDirect) >= summaryTTL {
 			continue
 		}
-		summary := ZoneSummary{Zone: zone, EntryCount: known.entryCount, SpareCapacity: known.spareCapacity, Age: now.Sub(known.asOf).Milliseconds(), Delegates: known.delegates,
+		// A report that arrives while the heartbeat is prepared is later than its time. Recipients reject a message
+		// with a negative age.
+		age := max(now.Sub(known.asOf), 0)
+		summary := ZoneSummary{Zone: zone, EntryCount: known.entryCount, SpareCapacity: known.spareCapacity, Age: age.Milliseconds(), Delegates: known.delegates,
 			Summary: known.currentSummary()}
 		if running := g.RunningIn(now, zone); len(running) > 0 {
 			summary.Addresses = []string{running[turn%len(running)]}
--- a/core/peering/zonestates_test.go
+++ b/core/peering/zonestates_test.go
@@ -238,3 +238,15 @@
 		before = most
 	}
 }
+
+// A heartbeat of another zone is handled after the time of the heartbeat to the local entries was taken, and before
+// that is filled. Guards against a negative age, for which its recipients rejected the whole heartbeat.
+func TestAReportThatIsLaterThanTheHeartbeatHasNoNegativeAge(t *testing.T) {
+	g := New("a-0:1", "a", "i", nil)
+	g.SetLocalRouting(true)
+	now := time.Unix(1000, 0)
+	g.Observe(now.Add(3*time.Millisecond), stateFrom("b", zoneSummary(1, 7, 0)))
+	summaries := g.RemoteSummaries(now, 0)
+	require.Len(t, summaries, 1)
+	require.Equal(t, summaries, reencoded(t, Message{ZoneSummaries: summaries}).ZoneSummaries)
+}
