Split the account by zone and count placements in other zones

Cause: whether callers of one zone are late while another has room, and what came of placements there, had to be counted by hand from the lines.

Change: rows by the zone of the entry, as its started line states it, and a table of the lines "placement in another zone ended" by asking zone, asked zone and outcome, where there are any.

--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -86,7 +86,9 @@
 	// but were missing from the load table of the entry that chose it.
 	ByLink   map[float64]*GroupStats
 	ByUnseen map[int]*GroupStats
-	Pauses   PauseStats
+	// ByZone groups by the availability zone of the entry, as logged at its start.
+	ByZone map[string]*GroupStats
+	Pauses PauseStats
 	// Buckets are keyed by the number of whole BucketWidths since Start.
 	Buckets     map[int]*Bucket
 	BucketWidth time.Duration
@@ -99,6 +101,8 @@
 	openRequests      map[string]*openRequest
 	openByLengthClass map[LengthClass]int
 	linkMbps          map[string]float64
+	zones             map[string]string // by entry
+	placements        placements
 	servers           activityByServer
 	// suspects are the requests under which servers crashed.
 	suspects    suspectsByFingerprint
@@ -110,7 +114,7 @@
 func New() *Report {
 	return &Report{All: newGroupStats(), ByRoute: map[string]*GroupStats{}, ByLengthClass: map[LengthClass]*GroupStats{}, Buckets: map[int]*Bucket{}, BucketWidth: time.Second,
 		ByLink: map[float64]*GroupStats{}, ByUnseen: map[int]*GroupStats{}, openRequests: map[string]*openRequest{}, openByLengthClass: map[LengthClass]int{},
-		linkMbps: map[string]float64{}, servers: activityByServer{}, suspects: suspectsByFingerprint{}, traffic: newTraffic(), propagation: newPropagation()}
+		ByZone: map[string]*GroupStats{}, zones: map[string]string{}, placements: placements{}, linkMbps: map[string]float64{}, servers: activityByServer{}, suspects: suspectsByFingerprint{}, traffic: newTraffic(), propagation: newPropagation()}
 }
 
 // LengthClass is a class of prompt lengths: class n holds prompts of up to 1,000 * 2^n tokens;
@@ -181,11 +185,13 @@
 	}
 	switch line.Message {
 	case messageStarted:
-		r.linkMbps[line.Entry] = line.LinkMbps
+		r.linkMbps[line.Entry], r.zones[line.Entry] = line.LinkMbps, line.Zone
 		r.traffic.restart(line.Entry)
 		return r.closeRequestsOf(line.Entry)
 	case messageServerChosen:
 		r.recordChoice(line)
+	case messagePlacementEnded:
+		r.placements.add(r.zoneOf(line.Entry), line.Zone, line.Outcome)
 	case messageExchange:
 		r.traffic.update(line)
 	case messageAttemptEnded:
@@ -269,7 +275,8 @@
 	if route == "" {
 		route = "(no route)"
 	}
-	groups := []*GroupStats{r.All, statsOf(r.ByRoute, route), statsOf(r.ByLengthClass, lengthClassOf(req.line.Tokens)), statsOf(r.ByLink, r.linkMbps[req.line.Entry])}
+	groups := []*GroupStats{r.All, statsOf(r.ByRoute, route), statsOf(r.ByLengthClass, lengthClassOf(req.line.Tokens)), statsOf(r.ByLink, r.linkMbps[req.line.Entry]),
+		statsOf(r.ByZone, r.zoneOf(req.line.Entry))}
 	if req.choices > 0 {
 		groups = append(groups, statsOf(r.ByUnseen, min(req.unseen, maxUnseen)))
 	}
--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -219,3 +219,25 @@
 	require.Contains(t, table.String(), "request under which servers ended")
 	require.Regexp(t, `aa +4 +4 +3 +2 +10:00:00 +10:00:00`, table.String())
 }
+
+// Callers of zone b are late while zone a has room. The report must show the zones apart, and what came of the
+// placements that entries of b asked of a.
+func TestReportGroupsByZoneAndCountsPlacementsInOthers(t *testing.T) {
+	started := func(entry, zone string) string {
+		return fmt.Sprintf(`{"msg":"started","time":%q,"name":%q,"zone":%q}`, stamp(0), entry, zone) + "\n"
+	}
+	placement := func(at int, entry, outcome string) string {
+		return fmt.Sprintf(`{"msg":"placement in another zone ended","time":%q,"name":%q,"zone":"a","outcome":%q}`, stamp(at), entry, outcome) + "\n"
+	}
+	answered := `"tookMs":1000,"outcome":"finished","firstMs":%d`
+	r, bad := read(t, started("a1", "a")+chosenLine(1, "a1", "x", 1000, 0, 100)+endedLine(1010, "a1", "x", fmt.Sprintf(answered, 100)),
+		started("b1", "b")+chosenLine(1, "b1", "y", 1000, 0, 100)+placement(2, "b1", "placed")+placement(3, "b1", "placed")+placement(4, "b1", "lost")+
+			endedLine(1010, "b1", "y", fmt.Sprintf(answered, 900)))
+	require.Empty(t, bad)
+	require.Equal(t, 1, r.ByZone["a"].Causes[InTime])
+	require.Equal(t, 0, r.ByZone["b"].Causes[InTime])
+	require.Equal(t, placements{{"b", "a"}: {"placed": 2, "lost": 1}}, r.placements)
+	var table strings.Builder
+	require.NoError(t, r.WriteTable(&table))
+	require.Regexp(t, `placements asked by zone +of zone +placed +refused +unused +lost +withdrawn\n +b +a +2 +0 +0 +1 +0`, table.String())
+}
--- a/entry/account/lines.go
+++ b/entry/account/lines.go
@@ -53,7 +53,8 @@
 	Exchanged  MessageCounts    `json:"exchanged"`
 	StoreCalls map[string]int64 `json:"storeCalls"`
 	// To is the new state of the entry, a server or a zone, Version the version of a
-	// configuration, Revision the revision of the store.
+	// configuration, Revision the revision of the store. Zone is also that of an entry at its start, and the one
+	// that was asked for a placement.
 	To       StateName `json:"to"`
 	Zone     string    `json:"zone"`
 	Version  uint64    `json:"version"`
@@ -81,6 +82,9 @@
 	messageAttemptEnded = "try ended"
 	messageRequestEnded = "request ended"
 
+	// messagePlacementEnded is logged for each placement request to another zone.
+	messagePlacementEnded = "placement in another zone ended"
+
 	messageExchange      = "exchange so far"
 	messageState         = "state changed"
 	messageConfiguration = "configuration in force"
--- a/entry/account/table.go
+++ b/entry/account/table.go
@@ -19,7 +19,7 @@
 }
 
 // groupRows returns a row for all requests, followed by the rows by route, by prompt length, by the
-// link rate of the entry's host and by the number of unseen requests.
+// link rate of the entry's host, by its zone and by the number of unseen requests.
 func (r *Report) groupRows() []groupRow {
 	rows := []groupRow{{"all", "all", r.All}}
 	for _, name := range slices.Sorted(maps.Keys(r.ByRoute)) {
@@ -31,6 +31,9 @@
 	for _, link := range slices.Sorted(maps.Keys(r.ByLink)) {
 		rows = append(rows, groupRow{"link", fmt.Sprintf("%g Mbit/s", link), r.ByLink[link]})
 	}
+	for _, zone := range slices.Sorted(maps.Keys(r.ByZone)) {
+		rows = append(rows, groupRow{"zone", zone, r.ByZone[zone]})
+	}
 	for _, unseen := range slices.Sorted(maps.Keys(r.ByUnseen)) {
 		rows = append(rows, groupRow{"lacked", unseenLabel(unseen), r.ByUnseen[unseen]})
 	}
@@ -82,6 +85,7 @@
 		print("%d\t", count)
 	}
 	print("%d\t\n", r.Pauses.MedianLongestPrefill())
+	r.writePlacements(print)
 	if suspects := r.SuspectRequests(); len(suspects) > 0 {
 		print("\t\nrequest under which servers ended\tservers\tof them before its first event\tattempts\tentries\tfrom\tto\t\n")
 		for _, suspect := range suspects {
