--- a/entry/gateway/spillover.go
+++ b/entry/gateway/spillover.go
@@ -116,7 +116,7 @@
 	if len(parts) == 0 {
 		return nil
 	}
-	summary := zonestate.New(slices.Contains(s.evacuation.Evacuated(), s.settings.Zone), parts, nil)
+	summary := zonestate.New(s.evacuation.IsEvacuated(s.settings.Zone), parts, nil)
 	return &summary
 }
 
@@ -158,7 +158,7 @@
 	own, need := offer(choice, refusal), e.spilloverNeed(now)
 	decision, address := e.chooseZone(now, own, need)
 	if address == "" {
-		p.count("stayed." + string(decision.Reason))
+		p.count("stayed." + string(stayReason(decision)))
 		return placement.Choice{}, false
 	}
 	p.count("asked." + decision.Zone)
@@ -174,6 +174,16 @@
 	return remote, outcome == askPlaced
 }
 
+// noEntry is the reason where a zone has room and none of its entries is known to run.
+const noEntry spillover.Reason = "noEntry"
+
+func stayReason(decision spillover.Decision) spillover.Reason {
+	if decision.Zone != "" {
+		return noEntry
+	}
+	return decision.Reason
+}
+
 // spilloverNeed returns what the request needs of a zone.
 func (e *exchange) spilloverNeed(now time.Time) spillover.Need {
 	limits, tokens := e.s.spiller.limits, e.info.PromptTokens+e.outputTokens()
