Test that an accepted placement which is no sooner is cancelled

Cause: the gateway's part of Spillover.Prefers had no test. Change: a late long prompt beside a zone that states slots and replies with a later first event; the prompt runs in its own zone, and the other one is told.

--- a/entry/gateway/spillover_test.go
+++ b/entry/gateway/spillover_test.go
@@ -155,6 +155,8 @@
 	mu       sync.Mutex
 	received []peering.Message
 	server   string // the incarnation in replies; none are sent if empty
+	// predicted is the time to the first event in replies.
+	predicted time.Duration
 }
 
 func newFakePeer(t *testing.T) *fakePeer {
@@ -187,12 +189,12 @@
 		}
 		p.mu.Lock()
 		p.received = append(p.received, m)
-		server := p.server
+		server, predicted := p.server, p.predicted
 		p.mu.Unlock()
 		if m.PlacementRequest == nil || server == "" {
 			continue
 		}
-		data, err := peering.Encode(peering.Message{From: p.address, Zone: "there", Incarnation: "x", PlacementReply: &peering.PlacementReply{ID: m.PlacementRequest.Dispatch.ID, Server: server}})
+		data, err := peering.Encode(peering.Message{From: p.address, Zone: "there", Incarnation: "x", PlacementReply: &peering.PlacementReply{ID: m.PlacementRequest.Dispatch.ID, Server: server, Predicted: predicted}})
 		if err == nil {
 			_, err = p.conn.WriteTo(data, from)
 		}
@@ -314,6 +316,31 @@
 	require.True(t, s.zoneSummary(time.Now()).Closed)
 }
 
+// A long prompt is late in its own zone; the other zone has slots and a long queue of prefill. Guards against a prompt
+// that becomes later there, and against one that the other zone tracks although it isn't sent.
+func TestAPlacementThatIsNoSoonerIsCancelled(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(func(c map[string]any) { c["Routes"].([]map[string]any)[0]["TargetLatencyMs"] = 120 })
+	w.addZones("here", "there")
+	s := w.serveWith(spilling)
+	w.eventually("routing is zone-local", func() bool { return s.peers.Membership(time.Now()).LocalRouting })
+	other := newFakePeer(t)
+	other.placeAt(w.availableServers(s, "engines"))
+	other.mu.Lock()
+	other.predicted = time.Hour
+	other.mu.Unlock()
+	roomy := zonestate.New(false, []zonestate.ServiceState{{Service: "engines", Slots: 384, FreeSlots: 300, FreeMemory: 5_000_000, LargestFree: 250_000}}, nil)
+	reportZone(s, &roomy, other)
+	require.Equal(t, 200, w.call(s, http.MethodPost, "/stream/", 200_000, "x").status)
+	require.Equal(t, 1, other.count(isPlacementRequest))
+	require.EqualValues(t, 1, s.spilloverCount("unused.there"))
+	require.Positive(t, w.runsIn("here"))
+	require.Zero(t, w.runsIn("there"))
+	w.eventually("the placement is cancelled", func() bool {
+		return other.count(func(m peering.Message) bool { return len(m.Ended) > 0 }) > 0
+	})
+}
+
 // Plays the same situation with the switch off and on. Guards against entries without spillover that send what other
 // versions don't, or that choose otherwise than by the spare capacity.
 func TestWithoutTheSwitchMessagesAndChoicesAreUnchanged(t *testing.T) {
--- a/proof/mutations/spillover_mutations_test.go
+++ b/proof/mutations/spillover_mutations_test.go
@@ -44,6 +44,7 @@
 	{"zones at capacity serve nearly what one pool serves", "core/spillover/spillover.go", "	if best.Reason != Ask {\n		best.Zone = \"\"\n	}\n", "	best.Zone = \"\"\n", spilloverPkg, "TestAtCapacity"},
 	{"zones are selected by their room", "core/spillover/spillover.go", "best.Reason != Ask || q.Draw*total >= total-d.Room", "best.Reason != Ask", spilloverPkg, "TestZonesAreSelected"},
 	{"an asked entry keeps the reserve", "entry/gateway/crosszone.go", "		if !s.admitsForPeer(now, service, choice, refusal) {\n", "		if false {\n", gatewayPkg, "TestTheAskedEntryKeeps"},
+	{"an unused placement is cancelled", "entry/gateway/spillover.go", "	if reply.Server != \"\" && !preferred {\n		e.s.peers.CancelPlacement(address, id)\n", "	if reply.Server != \"\" && !preferred {\n", gatewayPkg, "TestAPlacementThatIsNoSoonerIsCancelled"},
 	{"an evacuated zone says so", "entry/gateway/spillover.go", "s.evacuation.IsEvacuated(s.settings.Zone)", "false", gatewayPkg, "TestAClosedZone"},
 	{"a request without a reply is recorded", "entry/gateway/spillover.go", "			p.zones.Lost(now, id)\n", "", gatewayPkg, "TestAfterTheAskedEntryHasEnded"},
 	{"a request is recorded before it is sent", "entry/gateway/spillover.go", "	p.zones.Sent(now, request.Dispatch.ID, decision.Zone, address, need)\n", "", gatewayPkg, "TestADroppedReply"},
