End the workers of a test of placements when it fails

Cause: TestAZoneWithoutServersUsesAnotherOne (without spillover) failed once in a run of all packages at a machine load of about 57: two of its four requests were placed in the other zone. It then hung in its cleanup, as the scripts of its stand-in workers wait for a channel that only the end of the test closed; the process was ended after 6.7 minutes.

Change: the channel is closed in a cleanup as well, as in the test beside it. What the test demands is unchanged.

Ruled out: a deadlock of the entry (the dump shows the test's cleanup and two open workers). Not ruled out: that replies took more than the 40 ms of a placement request, which is taken for the cause and was not shown.

--- a/entry/gateway/crosszone_test.go
+++ b/entry/gateway/crosszone_test.go
@@ -134,10 +134,12 @@
 	w.configure(nil)
 	w.addZones("here", "there")
 	here, there := w.startTwoZones()
-	release := make(chan struct{})
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	t.Cleanup(release)
 	for _, worker := range w.workers[serversPerZone:] {
 		worker.Script = func(out http.ResponseWriter, r *http.Request) {
-			<-release
+			<-released
 			standin.ServeEvents(out, r, 1, 0)
 		}
 	}
@@ -153,7 +155,7 @@
 		go func() { done <- w.call(here, http.MethodPost, "/stream/", 2000, "x") }()
 	}
 	w.eventually("the other zone's entry tracks them", there.hasDispatches(requests))
-	close(release)
+	release()
 	for range requests {
 		require.Equal(t, 200, (<-done).status)
 	}
