Measure first reads and take-overs of a simultaneous start in proof/fleet

The simulation reported how long each entry took from its own start to serve, which hides that the entries of a zone wait for the last of them. It now reports the time from the first start of a zone to its first read of the store, and the time from a zone's first successful read until each entry serves.

The more entries, the more often a new member restarts the wait for a settled rank, up to settleLimit.

--- a/proof/fleet/entry.go
+++ b/proof/fleet/entry.go
@@ -44,6 +44,8 @@
 	serving     bool
 	reads       bool
 	startedAt   time.Time
+	// firstReadAt is the time at which the first read of the store began; nil unless it is under way.
+	firstReadAt *time.Time
 	askedAt     time.Time
 	lastRead    time.Time
 	revision    uint64
@@ -69,7 +71,8 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.running, e.serving, e.reads, e.catchingUp, e.revision, e.round = true, false, false, false, 0, 0
-	e.lastRead, e.startedAt, e.askedAt = time.Time{}, e.now(), e.now()
+	e.lastRead, e.firstReadAt, e.startedAt, e.askedAt = time.Time{}, nil, e.now(), e.now()
+	recordFirst(e.fleet.result.startedAt, e)
 	e.group = peering.New(e.name, e.zone, strconv.Itoa(e.incarnation), e.seeds)
 	e.group.SetReadOptions(peering.ReadOptions{Capacity: e.linkMbps, Limit: e.fleet.options.MaxPropagationDelay})
 	e.heartbeat()
@@ -91,6 +94,8 @@
 		return
 	case !known && e.group.ShouldReadAtStart(now, now.Sub(e.startedAt)):
 		e.fleet.result.InitialReads++
+		recordFirst(e.fleet.result.readAt, e)
+		e.firstReadAt = &now
 		e.readAll()
 		return
 	case e.group.NoPeerHeard() && now.Sub(e.askedAt) >= peering.SeedRetryInterval:
@@ -159,11 +164,13 @@
 // readAll reads the whole server list and the configuration from the store, and then watches its changes.
 func (e *entry) readAll() {
 	e.fleet.store.readAll(e, func(ok bool) {
+		e.firstReadAt = nil
 		if !ok {
 			e.after(storeRetry, e.bootstrap)
 			return
 		}
 		e.recordRead(e.fleet.store.revision)
+		recordFirst(e.fleet.result.listAt, e)
 		if e.serve(); !e.serving {
 			e.send(e.group.KnownLocal(), peering.Message{}, Announcement)
 		}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -60,6 +60,10 @@
 	Partition EventKind = "cut"
 	// RefuseStoreCalls makes the store refuse the calls of entries.
 	RefuseStoreCalls EventKind = "refuse"
+	// KillStartReaders kills the entries that are in their first read of the store.
+	KillStartReaders EventKind = "kill readers"
+	// SilenceStore makes the store answer the complete reads that begin meanwhile only at the end.
+	SilenceStore EventKind = "silence"
 	// ChangeStore writes one row to the store.
 	ChangeStore EventKind = "change"
 )
@@ -128,6 +132,15 @@
 		f.clock.After(event.Duration, func() { f.partitioned = map[string]bool{} })
 	case ChangeStore:
 		f.store.change()
+	case SilenceStore:
+		f.store.silentUntil = f.clock.Now.Add(event.Duration)
+	case KillStartReaders:
+		for _, e := range f.entries {
+			if e.running && e.firstReadAt != nil {
+				f.result.KilledReaders++
+				e.kill(event.Duration)
+			}
+		}
 	case KillEntries, RefuseStoreCalls:
 		for _, e := range f.entries {
 			if event.Zone >= 0 && e.zone != fmt.Sprintf("zone-%d", event.Zone) || f.random.Float64() >= event.Share {
--- a/proof/fleet/store.go
+++ b/proof/fleet/store.go
@@ -24,6 +24,8 @@
 	revision uint64
 	// refused holds the entries whose calls fail.
 	refused map[*entry]bool
+	// silentUntil is the time before which complete reads are not answered.
+	silentUntil time.Time
 	// watches complete the open watch calls.
 	watches []func()
 }
@@ -38,7 +40,8 @@
 	pages := (s.fleet.options.Servers+rowsPerPage-1)/rowsPerPage + 1
 	s.fleet.result.StoreCalls += pages
 	bytes := viewBytes(s.fleet.options.Servers) * 4 / 3 // base64
-	e.after(time.Duration(pages)*callTime+transfer(bytes, e.linkMbps), func() { done(true) })
+	silent := max(s.silentUntil.Sub(e.now()), 0)
+	e.after(silent+time.Duration(pages)*callTime+transfer(bytes, e.linkMbps), func() { done(true) })
 }
 
 // watch returns at the next change, or after wait without one.
