The first entry of a zone that starts reads the store without waiting for the last one

Cause: a starting entry read once no new member of its zone had become known for 30 ms, or 500 ms after its start. Where entries start one after the other each of them restarted that wait at all others.

Change: entries report how long ago they started and, while their first read is under way, how long ago that began, and announce that read.

The growth of the calls from 80 to 160 entries was measured while the list grew from two to three pages, which each reader reads; TestCallsOfTheStoreDoNotGrow now has the same list at all sizes, a lower limit of the growth (-0.8, before -0.7), and a limit of 65 calls at the old settings.

Conclusion: the first read no longer waits for the last start. Where all seeds start late, the entries of a zone still wait for one of them; over slow links the list takes longer than 50 ms.

--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -49,6 +50,11 @@
 	// placementReplies holds the pending placement requests to other zones, by dispatch ID.
 	placementReplies map[string]placementReply
 
+	// startedAt is the time at which this entry began to exchange messages. firstReadAt is the time at
+	// which its first read of the store began; nil before and if it got the list from a peer.
+	startedAt   time.Time
+	firstReadAt atomic.Pointer[time.Time]
+
 	// suspects are the entries that were suspect at the last heartbeat.
 	suspects []string
 
@@ -73,7 +79,7 @@
 	if err != nil {
 		return fmt.Errorf("listening on %s for datagrams: %w", p.s.settings.PeerAddress, err)
 	}
-	p.conn = conn
+	p.conn, p.startedAt = conn, time.Now()
 	t.Go(func() error { return p.receiveLoop(t) })
 	t.Go(func() error { return p.heartbeatLoop(t) })
 	t.Go(func() error {
@@ -166,9 +172,14 @@
 	m.From, m.Zone, m.Incarnation = p.s.settings.PeerAddress, p.s.settings.Zone, p.s.incarnation
 	m.Version, m.Revision = p.s.versions()
 	m.Capacity = p.s.readOptions.Load().Capacity
-	m.SetStoreState(p.s.storeState(time.Now()))
+	now := time.Now()
+	state := p.s.storeState(now)
+	m.SetStoreState(state)
 	m.Stopping = p.s.stopping.Load() != nil
 	m.Starting = p.s.manager.State() == lifecycle.Starting
+	if m.Starting && !state.Reads {
+		m.SetStartTimes(now, p.startedAt, p.firstReadAt.Load())
+	}
 	data, err := peering.Encode(m)
 	if err != nil {
 		p.s.log.WithError(err).Error("encoding a peer message failed")
--- a/entry/gateway/storereaders.go
+++ b/entry/gateway/storereaders.go
@@ -52,7 +52,7 @@
 	if !s.readOptions.Load().AllowsSharedReads() {
 		return
 	}
-	startedAt := time.Now()
+	startedAt := s.peers.startedAt
 	askedAt := startedAt
 	for {
 		now := time.Now()
@@ -68,7 +68,12 @@
 		if source != "" && (s.readStore(ctx) == nil || !s.sleep(storeRetryMin)) {
 			return
 		}
-		if !known && s.peers.shouldReadAtStart(now, now.Sub(startedAt)) || !s.sleep(startPoll) {
+		if !known && s.peers.shouldReadAtStart(now, now.Sub(startedAt)) {
+			s.peers.firstReadAt.Store(&now)
+			s.peers.broadcastState()
+			return
+		}
+		if !s.sleep(startPoll) {
 			return
 		}
 	}
--- a/entry/gateway/storereaders_test.go
+++ b/entry/gateway/storereaders_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -103,6 +104,34 @@
 	w.eventually("one of them keeps reading", func() bool { return countReaders(entries) == 1 })
 }
 
+// Guards against entries that start gradually and all read the store, because they don't learn of the reads that are
+// under way until the next heartbeat.
+func TestAnEntryAnnouncesItsFirstRead(t *testing.T) {
+	w := newTestbed(t)
+	w.store.FailWith(http.StatusServiceUnavailable)
+	conn, err := net.ListenPacket("udp", loopbackHost()+":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	settings := w.newSettings(conn.LocalAddr().String())
+	settings.ApplyLimit, settings.DrainLimit = config.Duration(4*time.Second), config.Duration(4*time.Second)
+	s := w.start(settings)
+	s.peers.handleMessage(time.Now(), peering.Message{From: conn.LocalAddr().String(), Zone: settings.Zone, Incarnation: "x", Starting: true})
+	buffer := make([]byte, 64<<10)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		require.NoError(t, err, "no read was announced")
+		m, err := peering.Decode(buffer[:n])
+		require.NoError(t, err)
+		require.Positive(t, m.StartAge)
+		if m.FirstReadAge > 0 {
+			require.Less(t, m.FirstReadAge, peering.HeartbeatInterval.Milliseconds()/2)
+			require.Less(t, m.FirstReadAge, m.StartAge)
+			return
+		}
+	}
+}
+
 // A datagram with changes is lost. The entry must not consider its list complete up to the later
 // revision: it fetches the reader's view when it learns of that revision.
 func TestALostUpdateIsDetected(t *testing.T) {
--- a/proof/fleet/entry.go
+++ b/proof/fleet/entry.go
@@ -96,6 +96,7 @@
 		e.fleet.result.InitialReads++
 		recordFirst(e.fleet.result.readAt, e)
 		e.firstReadAt = &now
+		e.send(e.group.KnownLocal(), peering.Message{}, Announcement)
 		e.readAll()
 		return
 	case e.group.NoPeerHeard() && now.Sub(e.askedAt) >= peering.SeedRetryInterval:
@@ -257,6 +258,9 @@
 	m.Version, m.Revision, m.Capacity = version, e.revision, e.linkMbps
 	m.SetStoreState(e.storeState())
 	m.Starting = !e.serving
+	if m.Starting {
+		m.SetStartTimes(e.now(), e.startedAt, e.firstReadAt)
+	}
 	data, err := peering.Encode(m)
 	if err != nil {
 		panic(err) // the encoding of a core's message cannot fail
--- a/proof/fleet/fleet_test.go
+++ b/proof/fleet/fleet_test.go
@@ -58,14 +58,20 @@
 	}
 }
 
-// Guards against a start of all entries at once in which each entry reads the list from the store.
+// Guards against a start of all entries at once in which each entry reads the list from the store. The number of servers is
+// the same for all sizes: the pages of the list, which all readers read, grow with it.
 func TestCallsOfTheStoreDoNotGrowWithTheEntries(t *testing.T) {
-	results := simulateSizes(nil)
-	requireGrowth(t, results, -0.7, storeCallsPerEntry)
+	results := simulateSizes(func(o *Options) { o.Servers = DefaultOptions(sizes[len(sizes)-1]).Servers })
+	requireGrowth(t, results, -0.8, storeCallsPerEntry)
 	for _, r := range results {
 		require.LessOrEqual(t, r.InitialReads, 3*r.Options.Zones)
 		require.Less(t, Longest(r.ServingDelays), time.Second)
 	}
+	for _, r := range simulateSizes(nil) {
+		require.LessOrEqual(t, r.InitialReads, 3*r.Options.Zones)
+		require.Less(t, Longest(r.ServingDelays), time.Second)
+		require.LessOrEqual(t, r.StoreCalls, 65, "%d entries", r.Options.Entries)
+	}
 }
 
 // All entries start before the store holds a configuration. The store readers cannot serve then. If only serving entries
@@ -144,3 +150,58 @@
 		requireConverged(t, r)
 	}
 }
+
+// gradualStart makes the entries start one after the other within 450 ms. With as many seeds one of them starts early.
+func gradualStart(o *Options) {
+	o.StartWindow = 450 * time.Millisecond
+	o.Seeds = 20
+}
+
+// Guards against a start after a loss of power in which all entries of a zone serve at the same moment: each new member
+// restarted the wait for a settled rank, so that the first read began with the last start.
+func TestTheFirstEntryOfAZoneReadsSoon(t *testing.T) {
+	for _, r := range simulateSizes(gradualStart) {
+		requireConverged(t, r)
+		require.Less(t, Longest(r.FirstReadDelays), 100*time.Millisecond, "%d entries", r.Options.Entries)
+		require.LessOrEqual(t, r.InitialReads, 3*r.Options.Zones)
+	}
+}
+
+// Guards against a list that reaches the other entries of its zone late, although all links are fast. Where 32 entries of
+// a zone start at the same moment the last of them has waited for two rounds of views.
+func TestTheListIsTakenOverSoon(t *testing.T) {
+	limits := map[time.Duration]time.Duration{0: 55 * time.Millisecond, 450 * time.Millisecond: 50 * time.Millisecond}
+	for window, limit := range limits {
+		for _, r := range simulateSizes(func(o *Options) { o.StartWindow, o.FastLinkShare = window, 1 }) {
+			require.Less(t, Longest(r.TakeOverDelays), limit, "%d entries within %s", r.Options.Entries, window)
+		}
+	}
+}
+
+// Guards against a zone that waits for its first readers although these were killed while they read, or are frozen.
+func TestKilledReadersDelayAZoneByOneRound(t *testing.T) {
+	for _, r := range simulateSizes(func(o *Options) {
+		gradualStart(o)
+		for at := 60 * time.Millisecond; at < 140*time.Millisecond; at += 5 * time.Millisecond {
+			o.Events = append(o.Events, Event{At: at, Kind: KillStartReaders, Duration: 2 * time.Second})
+		}
+	}) {
+		requireConverged(t, r)
+		require.Positive(t, r.KilledReaders)
+		require.Less(t, Longest(r.ServingDelays), 500*time.Millisecond)
+	}
+}
+
+// Guards against a herd of readers when the store does not answer: the number of readers at most doubles each round.
+func TestFewReadAStoreThatIsSilent(t *testing.T) {
+	for _, window := range []time.Duration{0, 450 * time.Millisecond} {
+		for _, r := range simulateSizes(func(o *Options) {
+			gradualStart(o)
+			o.StartWindow = window
+			o.Events = []Event{{Kind: SilenceStore, Duration: 700 * time.Millisecond}}
+		}) {
+			requireConverged(t, r)
+			require.LessOrEqual(t, r.InitialReads, 10*r.Options.Zones, "%d entries within %s", r.Options.Entries, window)
+		}
+	}
+}
