--- a/core/peering/start_test.go
+++ b/core/peering/start_test.go
@@ -172,8 +172,11 @@
 	m.Capacity = 100
 	g.Observe(start, m)
 	end := takeOverDelay + changeLimit/2
-	require.True(t, g.ShouldRead(start.Add(SuspectAfter-1), own))
+	lower := heartbeatFrom(entryAt(9), "here")
+	lower.Capacity = 91
+	lower.SetStoreState(StoreState{Reads: true})
 	g.Observe(start.Add(end-1), m)
+	g.Observe(start.Add(end-1), lower)
 	require.True(t, g.ShouldRead(start.Add(end-1), own))
 	m.SetStoreState(StoreState{Reads: true})
 	g.Observe(start.Add(end-1), m)
