--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -48,11 +48,28 @@
 	LinkMbps float64 `yaml:"linkMbps" validate:"gte=0"`
 	// ReservationIdle bounds how long memory may stay reserved without use.
 	ReservationIdle config.Duration `yaml:"reservationIdle" validate:"gt=0"`
+	// Overload switches on the decisions under load that exceeds the capacity.
+	Overload Overload `yaml:"overload"`
 	// LogLevel is debug, info, warn or error; LogRate is in lines per second.
 	LogLevel string  `yaml:"logLevel" validate:"omitempty,oneof=debug info warn error"`
 	LogRate  float64 `yaml:"logRate" validate:"gte=0"`
 }
 
+// Overload selects the decisions for load that exceeds the capacity of the servers. Each is off if absent, and the
+// entry then chooses as without it.
+type Overload struct {
+	// Queueing makes requests wait at the entry while all slots are taken.
+	Queueing bool `yaml:"queueing"`
+	// Spillover sends what the own zone can't serve in time to the zones that have room for it.
+	Spillover bool `yaml:"spillover"`
+	// FairShares divides scarce capacity among workspaces by weight.
+	FairShares bool `yaml:"fairShares"`
+	// Claims keeps memory that becomes free for the prompts that wait for it.
+	Claims bool `yaml:"claims"`
+	// LearnedTimes predicts first events from what each server has shown.
+	LearnedTimes bool `yaml:"learnedTimes"`
+}
+
 // Defaults of the settings.
 const (
 	// DefaultLogRate bounds the log lines per second. A request writes two or three; an entry with
@@ -98,22 +115,6 @@
 	// storeTimeout bounds a call to the store, and a watch beyond its wait. The store responds in
 	// milliseconds, and in up to some 250 ms while it is slow.
 	storeTimeout = time.Second
-	// watchWait bounds one long poll of a watch. Each call adds load to the store, but a watch that
-	// the store has silently dropped is detected only when the wait ends, and a configuration has
-	// to apply two seconds after it was acknowledged by a store that has been healthy for three.
-	watchWait = 2 * time.Second
-	// storeRetryMin and storeRetryMax bound the backoff after a failed call.
-	storeRetryMin = 100 * time.Millisecond
-	storeRetryMax = time.Second
-	// readerPoll is the interval at which an entry that does not read the store checks whether it
-	// has to. It is well below the limits of changes.
-	readerPoll = 100 * time.Millisecond
-	// startPoll is the interval at which a starting entry checks whether a peer is up to date or it
-	// has to read the store itself.
-	startPoll = 5 * time.Millisecond
-	// storeFailureMemory is the time for which a failed call counts against reading the store for
-	// others.
-	storeFailureMemory = 3 * time.Second
 	// shutdownLinger is the time for which new requests are accepted after SIGTERM. The load
 	// balancer probes once a second and stops routing after two failures.
 	shutdownLinger = 2800 * time.Millisecond
