A reader pauses after its first read; the rule on take-overs ends soon after the start

The trace of the calls shows where the additional ones come from. The two first readers of a zone end their reads within a millisecond or two, and both began a watch of 1.9 s before either heard of the other: in four of five zones at 160 entries, in two at 80. Ruled out: the number of complete reads (10 at both sizes) and the pages of the list, which the code before read as well.

Change: a reader pauses for PollDelay after the first read as after each watch, and then watches only if it still has to. The rule by which a starting entry leaves reading to a reader counted from the first message of another entry, so that it also applied to an entry that had run alone for long; it counts from the start of the entry now, and ends after 1 s, or 2 s for a reader (before: 1 s and 3.5 s). Entries that start together have all taken over by then.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -106,8 +106,8 @@
 	readOptions ReadOptions
 	// serving is set while this entry accepts requests.
 	serving bool
-	// firstHeard is the time of the first message of any entry.
-	firstHeard time.Time
+	// startedAt is the time at which this entry started; firstHeard is that of the first message of any entry.
+	startedAt, firstHeard time.Time
 	// listSources is the number of members that had the list of servers when this entry last looked for one,
 	// lastListSourceAt the time at which it last grew.
 	listSources      int
@@ -156,6 +156,9 @@
 // KnowsScope reports whether SetLocalRouting was called.
 func (g *Group) KnowsScope() bool { return g.scope != scopeUnknown }
 
+// SetStarted sets the time at which this entry started.
+func (g *Group) SetStarted(at time.Time) { g.startedAt = at }
+
 // SetServing sets whether this entry accepts requests.
 func (g *Group) SetServing(serving bool) { g.serving = serving }
 
--- a/core/peering/start.go
+++ b/core/peering/start.go
@@ -36,9 +36,9 @@
 	// isolationLimit bounds the wait of an entry that hears nobody. Entries that start before all seeds don't
 	// learn of each other's reads; with a wait below the usual spread of a start most of them would read.
 	isolationLimit = 500 * time.Millisecond
-	// takeOverDelay is the time after the first message of another entry in which an entry does not take over reading
-	// the store: all entries of a zone start within it after a loss of power. A reader goes on until the one that takes
-	// over reports fresh state, for staleAfter longer at most.
+	// takeOverDelay is the time after its start in which an entry does not take over reading the store: all entries of
+	// a zone start within it after a loss of power. A reader goes on for as long again, until all of them may have
+	// taken over.
 	takeOverDelay = time.Second
 	// readRound is the time in which entries that read the store become up to date and are heard, also on small
 	// hosts.
@@ -83,9 +83,9 @@
 func (g *Group) readsWhileStarting(now time.Time, self StoreState) (reads, decided bool) {
 	duration := takeOverDelay
 	if self.Reads {
-		duration += g.readOptions.staleAfter()
+		duration *= 2
 	}
-	if self.Lost || g.NoPeerHeard() || g.serving && now.Sub(g.firstHeard) >= duration {
+	if self.Lost || g.NoPeerHeard() || g.serving && now.Sub(g.startedAt) >= duration {
 		return false, false
 	}
 	rank, others := g.rank(now, func(m *member) bool {
--- a/entry/peerlink/link.go
+++ b/entry/peerlink/link.go
@@ -102,7 +102,12 @@
 
 // Attach sets the socket that messages are sent on. Start calls it; without Start the link sends, but
 // receives only what is passed to HandleMessage.
-func (l *Link) Attach(conn net.PacketConn) { l.conn, l.startedAt = conn, time.Now() }
+func (l *Link) Attach(conn net.PacketConn) {
+	l.conn, l.startedAt = conn, time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.group.SetStarted(l.startedAt)
+}
 
 // greetDiscovered sends a message to newly discovered entries of this zone, and asks one of them for
 // the members if no entry has sent them yet.
--- a/proof/fleet/entry.go
+++ b/proof/fleet/entry.go
@@ -75,6 +75,7 @@
 	recordFirst(e.fleet.result.startedAt, e)
 	e.group = peering.New(e.name, e.zone, strconv.Itoa(e.incarnation), e.seeds)
 	e.group.SetReadOptions(peering.ReadOptions{Capacity: e.linkMbps, Limit: e.fleet.options.MaxPropagationDelay})
+	e.group.SetStarted(e.startedAt)
 	e.heartbeat()
 	e.bootstrap()
 }
@@ -175,7 +176,7 @@
 		if e.serve(); !e.serving {
 			e.send(e.group.KnownLocal(), peering.Message{}, Announcement)
 		}
-		e.follow()
+		e.after(peering.ReadOptions{Limit: e.fleet.options.MaxPropagationDelay}.PollDelay(), e.follow)
 	})
 }
 
