--- a/core/placement/dispatch.go
+++ b/core/placement/dispatch.go
@@ -26,6 +26,9 @@
 	Lifetime time.Duration `cbor:"9,keyasint,omitempty"`
 	// Workspace is fairshare.Hash of the workspace's name; 0 if the request has none or the entry doesn't report it.
 	Workspace uint32 `cbor:"10,keyasint,omitempty"`
+	// Zone is the zone of the entry that sent the request, given only where the server is in another one and the
+	// entry takes part in spillover.
+	Zone string `cbor:"11,keyasint,omitempty"`
 }
 
 // Bounds of the values in a dispatch.
