--- a/entry/peerlink/membership.go
+++ b/entry/peerlink/membership.go
@@ -88,10 +88,10 @@
 
 // ShouldReadAtStart reports whether this entry, which started some time ago, reads the store
 // itself.
-func (l *Link) ShouldReadAtStart(now time.Time, since time.Duration) bool {
+func (l *Link) ShouldReadAtStart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.group.ShouldReadAtStart(now, since)
+	return l.group.ShouldReadAtStart(now, now.Sub(l.startedAt))
 }
 
 // ShouldRead reports whether this entry has to read the store itself.
