--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -60,9 +60,6 @@
 	servingSince time.Time
 	capacity     int
 	store        StoreState
-	// startedAt is the time at which a starting member started, firstReadAt the time at which its first read of the
-	// store began; zero if it reports none.
-	startedAt, firstReadAt time.Time
 	// digest is the last one received, as in Message.
 	digest uint32
 	// addressHash is the hash of the address, rankHash that of the address and the zone. Both are cached; 0 until
@@ -106,12 +103,11 @@
 	readOptions ReadOptions
 	// serving is set while this entry accepts requests.
 	serving bool
-	// startedAt is the time at which this entry started; firstHeard is that of the first message of any entry.
-	startedAt, firstHeard time.Time
-	// listSources is the number of members that had the list of servers when this entry last looked for one,
-	// lastListSourceAt the time at which it last grew.
-	listSources      int
-	lastListSourceAt time.Time
+	// firstHeard is the time of the first message of any entry, lastLocalFound the time at which the last member
+	// of the own zone became known.
+	firstHeard, lastLocalFound time.Time
+	// listKnownSince is the time since which some member is known to have the list of servers.
+	listKnownSince time.Time
 }
 
 // New returns the group of the entry at the address self, which knows the addresses of the seeds.
@@ -156,9 +152,6 @@
 // KnowsScope reports whether SetLocalRouting was called.
 func (g *Group) KnowsScope() bool { return g.scope != scopeUnknown }
 
-// SetStarted sets the time at which this entry started.
-func (g *Group) SetStarted(at time.Time) { g.startedAt = at }
-
 // SetServing sets whether this entry accepts requests.
 func (g *Group) SetServing(serving bool) { g.serving = serving }
 
@@ -196,6 +189,9 @@
 	if g.firstHeard.IsZero() {
 		g.firstHeard = now
 	}
+	if first && known.zone == g.zone {
+		g.lastLocalFound = now
+	}
 	// Remote members send heartbeats in turns only, and record no requests of this entry.
 	sender.Joined = first || sender.Restarted || sender.Local && now.Sub(known.lastHeard) >= SuspectAfter
 	known.needsSync = known.needsSync || sender.Joined
@@ -229,7 +225,6 @@
 	m.incarnation, m.lastHeard, m.stopping = message.Incarnation, now, message.Stopping
 	m.version, m.revision = message.Version, message.Revision
 	m.capacity, m.store = message.Capacity, message.storeState()
-	m.startedAt, m.firstReadAt = timeOfAge(now, message.StartAge), timeOfAge(now, message.FirstReadAge)
 	if message.Digest != 0 {
 		m.digest = message.Digest
 	}
@@ -259,6 +254,7 @@
 			}
 			if isNew && known.zone == g.zone {
 				discovered = append(discovered, address)
+				g.lastLocalFound = now
 			}
 		}
 	}
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -72,10 +72,6 @@
 	// Summary is the state of the sender's zone; nil if not given. Like SpareCapacity, which entries of versions
 	// that don't know it go by, it is sent to other zones.
 	Summary *zonestate.Summary `cbor:"30,keyasint,omitempty"`
-	// StartAge is the time in milliseconds, plus one, since the start of a sender that is starting; FirstReadAge is
-	// that since the beginning of its first read of the store while that read is under way. 0 if not given.
-	StartAge     int64 `cbor:"33,keyasint,omitempty"`
-	FirstReadAge int64 `cbor:"34,keyasint,omitempty"`
 }
 
 // ZoneSummary is the state of a zone as its entries report it.
@@ -135,26 +131,6 @@
 	Evacuations []evacuation.State `cbor:"5,keyasint,omitempty"`
 }
 
-// SetStartTimes sets StartAge and FirstReadAge of a starting sender; firstReadAt is nil unless its first read of the
-// store is under way.
-func (m *Message) SetStartTimes(now, startedAt time.Time, firstReadAt *time.Time) {
-	m.StartAge = ageOf(now, startedAt)
-	if firstReadAt != nil {
-		m.FirstReadAge = ageOf(now, *firstReadAt)
-	}
-}
-
-// ageOf returns the age of a time in milliseconds, plus one.
-func ageOf(now, at time.Time) int64 { return max(now.Sub(at).Milliseconds(), 0) + 1 }
-
-// timeOfAge is the inverse of ageOf; zero if no age is given.
-func timeOfAge(now time.Time, age int64) time.Time {
-	if age <= 0 {
-		return time.Time{}
-	}
-	return now.Add(-time.Duration(age-1) * time.Millisecond)
-}
-
 // SetStoreState sets StoreAge and StoreLost from the sender's access to the store.
 func (m *Message) SetStoreState(state StoreState) {
 	m.StoreLost = state.Lost
--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -76,9 +76,6 @@
 	if !g.readOptions.AllowsSharedReads() {
 		return true
 	}
-	if reads, decided := g.readsWhileStarting(now, self); decided {
-		return reads
-	}
 	rank, others := g.rank(now, canRead)
 	if self.Lost {
 		// Others are preferred while one of them has fresh state.
--- a/entry/peerlink/link.go
+++ b/entry/peerlink/link.go
@@ -44,10 +44,6 @@
 	dialer  *wire.Dialer
 	// capacity is the rate of the host's network link in Mbit/s, as sent to the peers.
 	capacity atomic.Int64
-	// startedAt is the time at which this entry began to exchange messages. firstReadAt is the time at
-	// which its first read of the store began; nil before, and if it got the list from a peer.
-	startedAt   time.Time
-	firstReadAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	group    *peering.Group
@@ -102,12 +98,7 @@
 
 // Attach sets the socket that messages are sent on. Start calls it; without Start the link sends, but
 // receives only what is passed to HandleMessage.
-func (l *Link) Attach(conn net.PacketConn) {
-	l.conn, l.startedAt = conn, time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.group.SetStarted(l.startedAt)
-}
+func (l *Link) Attach(conn net.PacketConn) { l.conn = conn }
 
 // greetDiscovered sends a message to newly discovered entries of this zone, and asks one of them for
 // the members if no entry has sent them yet.
--- a/entry/peerlink/membership.go
+++ b/entry/peerlink/membership.go
@@ -88,10 +88,10 @@
 
 // ShouldReadAtStart reports whether this entry, which started some time ago, reads the store
 // itself.
-func (l *Link) ShouldReadAtStart(now time.Time) bool {
+func (l *Link) ShouldReadAtStart(now time.Time, since time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.group.ShouldReadAtStart(now, now.Sub(l.startedAt))
+	return l.group.ShouldReadAtStart(now, since)
 }
 
 // ShouldRead reports whether this entry has to read the store itself.
--- a/entry/peerlink/send.go
+++ b/entry/peerlink/send.go
@@ -16,14 +16,9 @@
 	m.From, m.Zone, m.Incarnation = l.options.Address, l.options.Zone, l.options.Incarnation
 	m.Version, m.Revision = l.options.Status.Versions()
 	m.Capacity = int(l.capacity.Load())
-	now := time.Now()
-	state := l.options.Status.StoreState(now)
-	m.SetStoreState(state)
+	m.SetStoreState(l.options.Status.StoreState(time.Now()))
 	m.Stopping = l.options.Status.Stopping()
 	m.Starting = l.options.Status.Starting()
-	if m.Starting && !state.Reads {
-		m.SetStartTimes(now, l.startedAt, l.firstReadAt.Load())
-	}
 	data, err := peering.Encode(m)
 	if err != nil {
 		l.log.WithError(err).Error("encoding a peer message failed")
@@ -60,12 +55,6 @@
 	}
 }
 
-// AnnounceFirstRead sends to the entries of this zone that the first read of the store begins.
-func (l *Link) AnnounceFirstRead(now time.Time) {
-	l.firstReadAt.Store(&now)
-	l.BroadcastState()
-}
-
 // SendUpdate sends changes of the store to the targets.
 func (l *Link) SendUpdate(targets []string, update peering.Update) {
 	l.send(targets, peering.Message{Update: &update})
--- a/entry/storeread/bootstrap.go
+++ b/entry/storeread/bootstrap.go
@@ -15,7 +15,8 @@
 	if !r.Options().AllowsSharedReads() {
 		return
 	}
-	askedAt := time.Now()
+	startedAt := time.Now()
+	askedAt := startedAt
 	for {
 		now := time.Now()
 		if now.Sub(askedAt) >= peering.SeedRetryInterval {
@@ -30,11 +31,7 @@
 		if source != "" && (r.readStore(ctx) == nil || !r.sleep(storeRetryMin)) {
 			return
 		}
-		if !known && r.options.Peers.ShouldReadAtStart(now) {
-			r.options.Peers.AnnounceFirstRead(now)
-			return
-		}
-		if !r.sleep(startPoll) {
+		if !known && r.options.Peers.ShouldReadAtStart(now, now.Sub(startedAt)) || !r.sleep(startPoll) {
 			return
 		}
 	}
--- a/entry/storeread/loop.go
+++ b/entry/storeread/loop.go
@@ -70,10 +70,6 @@
 	if err := r.readStore(ctx); err != nil {
 		return err
 	}
-	// Where two entries have read at a start, one of them hears of the other's state in this time and stops.
-	if options := r.Options(); options.AllowsSharedReads() && !r.sleep(options.PollDelay()) {
-		return nil
-	}
 	for r.tomb.Alive() && r.UpdateReading(time.Now()) {
 		revision := r.target.Position()
 		options := r.Options()
--- a/entry/storeread/reader.go
+++ b/entry/storeread/reader.go
@@ -72,9 +72,7 @@
 type Peers interface {
 	// ShouldRead and ShouldReadAtStart report whether this entry has to read the store itself.
 	ShouldRead(now time.Time, self peering.StoreState) bool
-	ShouldReadAtStart(now time.Time) bool
-	// AnnounceFirstRead sends to the entries of the zone that this one begins its first read.
-	AnnounceFirstRead(now time.Time)
+	ShouldReadAtStart(now time.Time, since time.Duration) bool
 	// HasFreshPeer reports whether another entry of the zone is up to date with the store.
 	HasFreshPeer(now time.Time) bool
 	// ListSource returns an entry from which this one can fetch the list of servers at its start.
