core/quarantine: a request at fewer crashes no longer releases a culprit

The allowance is for a crash record that has not arrived. A request that may be the culprit is then at all crashes of the other one but the newest, so the allowance now requires the others to be shared.

Ruled out: lost or late records (all entries held the same ones and logged the release within one tick), cleared records (no complete answer), and a time limit for the allowance, as entries with the same records would then decide differently. A harmless request that was at one crash each of three culprits, each at exactly two, is no longer excused until one of them is at its third.

TestARefusedCulpritIsNotReleasedByARequestAtFewerCrashes fails without the change.

entry/server uses the same tracker and gets the change too.

--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -46,6 +46,22 @@
 	return true
 }
 
+func (r *record) hasCrash(crash uint64) bool {
+	_, found := slices.BinarySearch(r.crashes, crash)
+	return found
+}
+
+// sharedCrashes returns the number of crashes at which both requests were.
+func (r *record) sharedCrashes(other *record) int {
+	count := 0
+	for _, crash := range r.crashes {
+		if other.hasCrash(crash) {
+			count++
+		}
+	}
+	return count
+}
+
 // merge merges another entry's record of the same request and reports whether anything changed.
 func (r *record) merge(other Record, changed time.Time) bool {
 	if other.Cleared < r.cleared {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -144,35 +144,38 @@
 	return r != nil && len(r.crashes) >= suspectCrashes
 }
 
-// attributedCrashes counts the crashes that no other request explains as well. Another request explains a crash
-// if it was there too and was at as many crashes, or at one less: its record of the newest crash may not have
-// arrived, and without that allowance a request beside the culprit would be refused until it has.
+// attributedCrashes counts the crashes that no other request explains as well.
 func (tr *Tracker) attributedCrashes(f Fingerprint, r *record) int {
 	if len(r.crashes) < AttributedCrashLimit {
 		return 0
 	}
 	count := len(r.crashes)
 	for _, crash := range r.crashes {
-		if tr.isExplained(crash, f, len(r.crashes)-1) {
+		if tr.isExplained(crash, f, r) {
 			count--
 		}
 	}
 	return count
 }
 
-// isExplained reports whether another request was at a crash, and at no fewer than minCrashes crashes in total.
-func (tr *Tracker) isExplained(crash uint64, f Fingerprint, minCrashes int) bool {
+// isExplained reports whether another request was at a crash of this one and may have caused it.
+func (tr *Tracker) isExplained(crash uint64, f Fingerprint, r *record) bool {
 	for other, o := range tr.records {
-		if other == f || len(o.crashes) < minCrashes {
-			continue
-		}
-		if _, found := slices.BinarySearch(o.crashes, crash); found {
+		if other != f && o.hasCrash(crash) && o.mayExplain(r) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayExplain reports whether this request may have caused the crashes that it shares with another one: it was at as
+// many crashes, or at all crashes of the other one except one, whose record may not have arrived. Without that
+// allowance a request beside the culprit would be refused until it has. The allowance requires all the others to be
+// shared: a request that was beside a refused culprit once, and then beside another one, would release the first.
+func (r *record) mayExplain(other *record) bool {
+	return len(r.crashes) >= len(other.crashes) || r.sharedCrashes(other) >= len(other.crashes)-1
+}
+
 // Expire drops the records older than RecordTTL.
 func (tr *Tracker) Expire(now time.Time) {
 	for f, r := range tr.records {
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -69,6 +69,22 @@
 	require.Positive(t, tracker.RefusedFor(start, request("two")))
 }
 
+// Guards against releasing a refused culprit. Another request, innocent or a second culprit, was beside it once and
+// then meets a crash elsewhere: at two crashes, one of them shared, it doesn't explain any of the three.
+func TestARefusedCulpritIsNotReleasedByARequestAtFewerCrashes(t *testing.T) {
+	tracker := NewTracker()
+	culprit, other := request("fatal"), request("other")
+	for _, server := range []string{"a", "b", "c"} {
+		tracker.ServerCrashed(start, culprit, server)
+	}
+	tracker.ServerCrashed(start, other, "b")
+	require.Positive(t, tracker.RefusedFor(start, culprit))
+	tracker.ServerCrashed(start, other, "x")
+	require.Positive(t, tracker.RefusedFor(start, culprit))
+	tracker.ServerCrashed(start, other, "y")
+	require.Zero(t, tracker.RefusedFor(start, culprit), "both were at three crashes: either may have caused the shared one")
+}
+
 // A request beside others at crashes is answered completely. Records that arrive late or repeatedly must not make
 // it suspect again; later crashes count.
 func TestACompleteAnswerClearsARequest(t *testing.T) {
