proof/soak: a poison request under way to a crashed server is ambiguous

Cause: the recovery check allows no send of a poison request after its third crash, or three, as the users do, if another one ran at the same server. With three crashes, one of them shared with a request at four, the first has two attributed ones and is sent once more; at its fourth it is refused. Events: 42.642 w5-2 crashes under request 2, which its entry sends to w2-1; 42.672 w2-1 crashes under request 3 without an arrival of 2, both are recorded; 55.465 w2-3 and 55.853 w5-4 crash under 3; 57.239 w2-4 does, the finding.

A poison request is now ambiguous too if it was under way to the service while another one crashed a server of it, or the other way round, up to the half second in which servers drop a cancelled request. It is still allowed three more sends and not a fourth; where no other one was under way, none.

Ruled out: a lost record (all entries held the same records).

The new test fails without the change.

--- a/proof/soak/check_test.go
+++ b/proof/soak/check_test.go
@@ -203,6 +203,47 @@
 	require.Contains(t, brokenGuarantees(r), sentOn)
 }
 
+// Guards against a finding for a poison request whose crashes the entries couldn't attribute: it or
+// another one was under way to the server that the other one crashed, and the reset of its
+// connection came before the server had read it. It may be sent three more times, as required, and
+// not a fourth time. A poison request of another service doesn't excuse any further send.
+func TestAPoisonRequestUnderWayToACrashedServerIsAmbiguous(t *testing.T) {
+	const number, other = 3, 2 // both are for plain servers
+	records := func(underWay Call, crash, lateSends int) *Records {
+		r := validRecords()
+		send := func(id string, at time.Time) {
+			r.Calls = append(r.Calls, Call{ID: id, Kind: AtMostOnce, Path: "/order/fatal", PoisonNumber: number, StartedAt: at, EndedAt: at, Timeout: time.Second, Status: 502, Complete: true})
+			r.Arrivals = append(r.Arrivals, Arrival{ID: id, Server: "w-" + id, Service: plain, At: at})
+			r.Runs = append(r.Runs, &Run{ID: id, Server: "w-" + id, Service: plain, Workspace: "press", StartedAt: at, EndedAt: at, Remaining: time.Nanosecond, Faulty: true})
+		}
+		for i := range crashLimit {
+			id, at := fmt.Sprint("a", i), after(90+float64(i))
+			send(id, at)
+			r.Crashes = append(r.Crashes, Crash{PoisonNumber: number, Server: "w-" + id, At: at})
+		}
+		r.Crashes = append(r.Crashes, Crash{PoisonNumber: crash, Server: "v", At: after(80)})
+		underWay.ID, underWay.Timeout, underWay.Disconnected = "under way", time.Second, true
+		r.Calls = append(r.Calls, underWay)
+		for i := range lateSends {
+			send(fmt.Sprint("late", i), after(103.5+0.1*float64(i)))
+		}
+		return r
+	}
+	cancelDelay := maxCancelDelay.Seconds()
+	another := Call{Kind: Retryable, PoisonNumber: other, StartedAt: after(89), EndedAt: after(90.1)}
+	require.NotContains(t, brokenGuarantees(records(another, number, maxExtraSends)), sentOn)
+	require.Contains(t, brokenGuarantees(records(another, number, maxExtraSends+1)), sentOn)
+	another.EndedAt = after(90.1 - cancelDelay)
+	require.NotContains(t, brokenGuarantees(records(another, number, 1)), sentOn, "its caller had just disconnected")
+	another.EndedAt = after(89.9 - cancelDelay)
+	require.Contains(t, brokenGuarantees(records(another, number, 1)), sentOn, "it had ended before")
+	another.EndedAt, another.Kind = after(90.1), ResumableStream
+	require.Contains(t, brokenGuarantees(records(another, number, 1)), sentOn, "it is of another service")
+	own := Call{Kind: AtMostOnce, PoisonNumber: number, StartedAt: after(79.9), EndedAt: after(80.1)}
+	require.NotContains(t, brokenGuarantees(records(own, other, 1)), sentOn, "the other one crashed a server")
+	require.Contains(t, brokenGuarantees(records(own, 1, 1)), sentOn, "the other one crashed a server of another service")
+}
+
 // Two poison requests that delay each other's quarantine crash both servers of a service, the last
 // time after all faults. Calls can't succeed until one server is back; from then on they must.
 func TestRecoveryIsNotRequiredWithoutServers(t *testing.T) {
--- a/proof/soak/records.go
+++ b/proof/soak/records.go
@@ -51,6 +51,14 @@
 func (k CallKind) atMostOnce() bool { return k == AtMostOnce || k == AtMostOnceStream }
 func (k CallKind) streams() bool    { return k == ResumableStream || k == AtMostOnceStream }
 
+// service returns the service of the servers that run a call of this kind.
+func (k CallKind) service() string {
+	if k.streams() {
+		return engines
+	}
+	return plain
+}
+
 // Run records one execution of a request at a backend server.
 type Run struct {
 	ID, Server, Service, Workspace, Key string
