entry/gateway: the test of the body limit checks why prompts are refused

The memory limit of the entry applies to the whole test process, which also holds the bodies of 20 callers and of the server: the garbage collector ran all the time. The test lifts the limit of the Go heap after the start of the entry; the bound that it checks, that of the bodies, is unchanged.

--- a/entry/gateway/body_test.go
+++ b/entry/gateway/body_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -87,29 +89,34 @@
 			settings.MemoryMB = 40
 			limit := int64(settings.MemoryMB<<20) * 35 / 100
 			s := w.start(settings)
+			// The callers and the server share the process of the entry. With its limit the garbage collector would run
+			// all the time, and requests would be refused because they are late.
+			debug.SetMemoryLimit(math.MaxInt64)
 			w.eventually("the entry is ready", func() bool { return w.isCurrent(s) })
 			body := strings.Repeat("x", bodyBytes)
-			statuses := make(chan int, callers)
+			replies := make(chan reply, callers)
 			for i := range callers {
 				go func() {
 					request := standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/once/x", fmt.Sprint("b", i), 2000, body)
 					request.ContentLength = length
-					statuses <- call(request).status
+					replies <- call(request)
 				}()
 			}
-			refused := func() int { return len(statuses) }
+			refused := func() int { return len(replies) }
 			w.eventually("the others are refused", func() bool { return refused()+len(worker.Runs()) == callers })
 			require.LessOrEqual(t, s.bodies.Reserved(), limit)
+			for range refused() {
+				r := <-replies
+				require.Equal(t, http.StatusServiceUnavailable, r.status, r.body)
+				require.Equal(t, CodeBodiesFull, problemOf(t, r).Code, r.body)
+			}
 			require.LessOrEqual(t, len(worker.Runs()), int(limit/bodyBytes))
 			if length > 0 {
 				require.Len(t, worker.Runs(), int(limit/bodyBytes))
 			}
-			for range refused() {
-				require.Equal(t, http.StatusServiceUnavailable, <-statuses)
-			}
 			release()
 			for range len(worker.Runs()) {
-				require.Equal(t, 200, <-statuses)
+				require.Equal(t, 200, (<-replies).status)
 			}
 			w.eventually("all memory is released", func() bool { return s.bodies.Reserved() == 0 })
 		})
