proof/processes: the kernel takes whole prompts for the stand-in engine

Cause: TestSlowReadersAndEnormousPromptsStayWithinTheMemory at times gets 502 for a prompt. Its stand-in engine shares a process with 700 callers; on a busy machine it reads nothing of a 3 MB body for 1.7 s, and the user timeout ends the connection (entry: "read: connection timed out", no event, 2.3 s after the start). The listener of the engine now has a receive buffer that takes a whole prompt, so that how soon the stand-in is scheduled doesn't matter. What the test requires of the entry is unchanged. Where net.core.rmem_max is too small the test says so.

Decided on the service: a server that lives but takes nothing for 1.7 s is still given up. The kernel has one limit for a host that is cut off and for a closed receive window; a longer one would delay the detection of cut-off servers.

--- a/proof/processes/memory_test.go
+++ b/proof/processes/memory_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	for _, worker := range []*standin.Worker{plain, engine} {
 		t.Cleanup(worker.Close)
 	}
+	setReceiveBuffer(t, engine.Listener, promptBytes)
 	t.Cleanup(release)
 	f := startForwardTestbed(t, forwardSpec{entries: 1, processors: 4, stopLimit: usualStopLimit, memoryMB: memoryMB, bodyBytes: 4 << 20}, plain, engine)
 	entry := f.entries[0]
@@ -78,6 +80,25 @@
 	require.Less(t, peak, int64(memoryMB)<<20)
 }
 
+// setReceiveBuffer lets the kernel accept that many bytes on each connection to a stand-in before it reads
+// them. A stand-in shares its process with hundreds of callers and on a busy machine may read nothing for
+// longer than the entry lets a server leave data unacknowledged.
+func setReceiveBuffer(t testing.TB, listener net.Listener, bytes int) {
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	size := 0
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		// Half of the buffer is for the kernel's own data; the kernel doubles the value that is set.
+		if err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2*bytes); err == nil {
+			size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+		}
+	}))
+	require.NoError(t, err)
+	if size < 2*bytes {
+		t.Logf("net.core.rmem_max allows %d bytes of %d: a slow stand-in may be given up", size, 2*bytes)
+	}
+}
+
 // readResponseStart sends a request and reads only the first bytes of the response; false unless they
 // report success.
 func (f *forwardTestbed) readResponseStart(address, id string) bool {
