entry/gateway: a refused caller that goes on sending keeps its connection

Cause: the rest of a refused body was read for two seconds in all.

The two seconds now apply to each 64 KB, up to the request's deadline and the longest body that a caller may send. A request without a deadline (no route, no valid key) has two seconds in all, as before; a caller that sends nothing is given up after two seconds, as before. A read that starts while the shutdown timeout passes can't outlast it: the deadline is set first, the context checked after.

TestACallerThatIsStillSendingGetsItsRefusal now sends for 2.5 s and fails without the change.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -72,8 +72,12 @@
 	return defaultBodyBytes
 }
 
-// discardTime bounds the time in which the rest of a refused request's body is read.
-const discardTime = 2 * time.Second
+const (
+	// discardTime bounds the time in which the next discardBytes of a refused request's body have to
+	// arrive. A bound on the whole rest reset callers that send megabytes over a slow connection.
+	discardTime  = 2 * time.Second
+	discardBytes = 64 << 10
+)
 
 // discardBody reads the rest of a refused request's body, in bounds of bytes and time, and keeps
 // nothing of it. If the connection were closed before, it would be reset, and a caller that is still
@@ -82,15 +86,38 @@
 	if e.r.Header.Get("Expect") != "" {
 		return // the caller sends no body after a refusal
 	}
-	e.setDeadline((*http.ResponseController).SetReadDeadline, time.Now().Add(discardTime))
 	defer e.endReadOnAbort()()
-	if _, err := io.CopyN(io.Discard, e.r.Body, e.bodyLimit()); err != nil && !errors.Is(err, io.EOF) {
-		e.s.log.WithError(err).WithField("request", e.info.ID).Debug("reading the rest of a refused request failed")
-		return
+	refusedAt := time.Now()
+	for left := e.bodyLimit(); left > 0; left -= discardBytes {
+		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))
+		if e.s.manager.Aborting().Err() != nil {
+			return // the deadline of endReadOnAbort may just have been replaced
+		}
+		_, err := io.CopyN(io.Discard, e.r.Body, min(left, discardBytes))
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			e.s.log.WithError(err).WithField("request", e.info.ID).Debug("reading the rest of a refused request failed")
+			return
+		}
 	}
 	e.clearReadDeadline()
 }
 
+// discardDeadline returns the time by which the next part of a refused body has to arrive. A request
+// without a deadline, which has no route or no valid key, has discardTime for the whole rest.
+func (e *exchange) discardDeadline(refusedAt time.Time) time.Time {
+	next, last := time.Now().Add(discardTime), refusedAt.Add(discardTime)
+	if e.deadline.After(last) {
+		last = e.deadline
+	}
+	if next.After(last) {
+		return last
+	}
+	return next
+}
+
 // responseWriteSlack bounds the time after the request's deadline in which the rest of its response
 // is written to the caller.
 const responseWriteSlack = 200 * time.Millisecond
--- a/entry/gateway/body_test.go
+++ b/entry/gateway/body_test.go
@@ -124,7 +124,7 @@
 }
 
 // A caller was refused while it was still sending a prompt of megabytes. The connection was closed with the rest unread,
-// and the caller got a reset in place of the answer.
+// at once or two seconds later, and the caller got a reset in place of the answer.
 func TestACallerThatIsStillSendingGetsItsRefusal(t *testing.T) {
 	for name, head := range map[string]string{"told length": "Content-Length: 3145728\r\n", "unknown length": "Transfer-Encoding: chunked\r\n"} {
 		t.Run(name, func(t *testing.T) {
@@ -144,8 +144,9 @@
 			if name == "unknown length" {
 				chunk = []byte("10000\r\n" + string(chunk) + "\r\n")
 			}
-			for range 48 {
-				time.Sleep(20 * time.Millisecond)
+			const chunks = 48 // they take longer than discardTime
+			for range chunks {
+				time.Sleep(discardTime * 5 / 4 / chunks)
 				_, err := connection.Write(chunk)
 				require.NoError(t, err)
 			}
@@ -164,7 +165,7 @@
 	}
 }
 
-// A caller that goes on to send after its refusal holds its connection for two seconds and no memory.
+// A caller that sends nothing more after its refusal holds its connection for two seconds and no memory.
 func TestTheRestOfARefusedBodyIsReadForALimitedTime(t *testing.T) {
 	w := newTestbed(t)
 	w.configure(func(c map[string]any) { c["Limits"].(map[string]any)["MaxBodyBytes"] = 4 << 20 })
