--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -202,7 +202,8 @@
 // serverUserTimeout bounds the time for which a backend server or the store may leave data
 // unacknowledged. One that is cut off sends no reset; the caller of a short prompt disconnects
 // after two seconds without an event, and a stream that is to be resumed at another server has to
-// be cancelled before that.
+// be cancelled before that. A server that lives but takes no data for as long is given up too: the
+// kernel has one limit for both, and a longer one would delay the detection of those that are cut off.
 const serverUserTimeout = 1700 * time.Millisecond
 
 // serverKeepAlive probes connections on which nothing is sent. The kernel counts in whole seconds,
