Queueing in the entry: first whole form

Cause: requests in excess of the slots were sent to full servers and queued there, so that under overload all that were served were late for as long as the load lasted.

Change: with overload.queueing a short prompt that finds all slots taken, or others waiting, waits in core/waiting at its entry (entry/gateway/waiting.go), is started, chooses a server with a free slot and is sent. Reports and passed slots ride on the load updates and heartbeats (Message.Queue, CBOR 31). core/placement gets Supply and the hold time, Query.Queueing and Query.NeedsSlot. A request goes to another zone only if the queue wouldn't promise it here. An entry that stops refuses those that wait. Long prompts don't take part: memory and prefill decide on them. Placement requests of other zones are refused where somebody waits. The stagger is derived from placement's network time, since the response time of peers isn't measured.

--- a/core/peering/codec.go
+++ b/core/peering/codec.go
@@ -53,6 +53,11 @@
 			return fmt.Errorf("zone %s: %w", summary.Zone, err)
 		}
 	}
+	for _, report := range m.Queue {
+		if err := report.Check(); err != nil {
+			return fmt.Errorf("queue of service %s: %w", report.Service, err)
+		}
+	}
 	for _, statement := range m.Limits {
 		if err := statement.Check(); err != nil {
 			return fmt.Errorf("server %s: %w", statement.Server, err)
--- a/core/peering/kind.go
+++ b/core/peering/kind.go
@@ -31,6 +31,8 @@
 		return KindRemoteHeartbeat
 	case m.Digest != 0, len(m.ZoneSummaries) > 0:
 		return KindHeartbeat
+	case len(m.Queue) > 0:
+		return KindEvents
 	case len(m.Members) > 0:
 		return KindList
 	case m.WantsMembers:
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -8,6 +8,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/waiting"
 	"arbutusdeck/core/zonestate"
 )
 
@@ -72,6 +73,8 @@
 	// Summary is the state of the sender's zone; nil if not given. Like SpareCapacity, which entries of versions
 	// that don't know it go by, it is sent to other zones.
 	Summary *zonestate.Summary `cbor:"30,keyasint,omitempty"`
+	// Queue is the state of the sender's queues of requests that wait for a slot, one for each service.
+	Queue []waiting.Report `cbor:"31,keyasint,omitempty"`
 }
 
 // ZoneSummary is the state of a zone as its entries report it.
--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -11,7 +11,7 @@
 // retry.
 func (t *LoadTable) overloaded(best Choice, q Query) bool {
 	limit := time.Duration(t.options.ShedShare * float64(q.Target))
-	return q.PromptTokens <= t.options.ShortTokens && best.slotsTaken && best.Predicted > limit && q.Target > minTarget
+	return q.PromptTokens <= t.options.ShortTokens && best.SlotsTaken && !q.Queueing && best.Predicted > limit && q.Target > minTarget
 }
 
 // answerTimeFactor is the factor by which an answer may take longer than predicted: callers' estimates of its
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -31,6 +31,10 @@
 	Remaining time.Duration
 	// EntryLifetime is the time until the entry that asks shuts down; 0 if no shutdown is known.
 	EntryLifetime time.Duration
+	// Queueing is set if short prompts wait at the entry while all slots are taken; they aren't refused here then.
+	Queueing bool
+	// NeedsSlot excludes servers whose slots are all taken. The refusal is NoSlot if there are no others.
+	NeedsSlot bool
 	// TieBreak is a random number from 0 to 1 that breaks ties between equal servers, so that entries that
 	// don't know of each other's choices don't all choose the same server.
 	TieBreak float64
@@ -54,6 +58,8 @@
 	Reserved []int64
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
+	// FirstEvent is Predicted without the wait for a slot at Server.
+	FirstEvent time.Duration
 	// AnswerTime is the predicted time from the first event to the last one.
 	AnswerTime time.Duration
 	// Loss is the expected loss of the request and of others, for the log.
@@ -66,12 +72,12 @@
 	Wait time.Duration
 	// Unreachable is set if Server is in backoff because it took no requests lately.
 	Unreachable bool
+	// SlotsTaken is set if all slots of Server are in use.
+	SlotsTaken bool
 	// othersLoss is the part of Loss that other requests bear.
 	othersLoss float64
 	// crowding is the expected loss of the next requests by this prefill.
 	crowding float64
-	// slotsTaken is set if all slots of the server are in use.
-	slotsTaken bool
 }
 
 // ServerLoad is the known load of a server at a choice.
@@ -91,6 +97,8 @@
 const (
 	// NoServer means that no server of the service is available.
 	NoServer Refusal = "no_server"
+	// NoSlot means that all slots of the servers that accept requests are taken, for a query that needs one.
+	NoSlot Refusal = "no_slot"
 	// NoMemory means that no group of servers has the memory for the prompt.
 	NoMemory Refusal = "no_memory"
 	// TooLate means that the first event would come after the request's deadline.
@@ -134,6 +142,9 @@
 func (t *LoadTable) choose(now time.Time, q Query) (Choice, Refusal) {
 	candidates := t.candidates(now, q)
 	if len(candidates) == 0 {
+		if wait, found := q.EarliestFree(now); q.NeedsSlot && found && wait == 0 {
+			return Choice{}, NoSlot
+		}
 		return waitForPaused(now, q)
 	}
 	if q.Engine == nil {
@@ -218,6 +229,9 @@
 		}
 		c := &all[i]
 		t.assess(now, q, listed, c)
+		if q.NeedsSlot && c.requests >= q.Engine.Slots {
+			continue
+		}
 		found = append(found, c)
 		if !c.state.health.inBackoff(now) {
 			available = append(available, c)
--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -43,6 +43,8 @@
 	// lastAnsweredStart is the start time of the newest request that has its first event.
 	lastAnsweredStart time.Time
 	health            serverHealth
+	// holdTime is the smoothed time for which requests held a slot here; 0 before the first one ended.
+	holdTime time.Duration
 }
 
 type activeDispatch struct {
@@ -175,6 +177,11 @@
 
 // End records that a dispatch has ended.
 func (t *LoadTable) End(now time.Time, id string) {
+	t.observeHold(now, t.active[id])
+	t.end(now, id)
+}
+
+func (t *LoadTable) end(now time.Time, id string) {
 	t.ended[id] = now
 	a := t.active[id]
 	if a == nil {
@@ -195,7 +202,7 @@
 func (t *LoadTable) EndPeerDispatches(now time.Time, from string) {
 	for id, a := range t.active {
 		if a.peer == from {
-			t.End(now, id)
+			t.end(now, id)
 		}
 	}
 }
@@ -208,7 +215,7 @@
 func (t *LoadTable) Expire(now time.Time) {
 	for id, a := range t.active {
 		if now.After(a.expires) {
-			t.End(now, id)
+			t.end(now, id)
 		}
 	}
 	maps.DeleteFunc(t.ended, func(_ string, ended time.Time) bool { return now.Sub(ended) > overtakeTime })
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -113,19 +113,25 @@
 // arrive later delay it in the same way.
 func (t *LoadTable) firstEventMs(c *candidate, q Query, prefillMs float64) float64 {
 	prefillMs *= c.state.health.slowdown()
-	wait := c.backlogMs
-	if over := c.requests - q.Engine.Slots + 1; over > 0 {
-		// A slot is free when the shortest of the running answers is complete, on average after half of the
-		// passes of an answer of usual length.
-		passes := float64(q.Engine.UsualAnswer) / float64(q.Engine.Stride) / 2
-		wait += float64(over) / float64(q.Engine.Slots) * passes * c.passMs
-	}
+	wait := c.backlogMs + slotWaitMs(c, q)
 	if c.batch.Answers > 0 {
 		return wait + c.passMs/2 + c.passMs + prefillMs
 	}
 	return wait + prefillMs + q.Engine.StepOverheadMs(q.PromptTokens, 1)
 }
 
+// slotWaitMs predicts the time, in milliseconds, until a server has a slot for one more request.
+func slotWaitMs(c *candidate, q Query) float64 {
+	over := c.requests - q.Engine.Slots + 1
+	if over <= 0 {
+		return 0
+	}
+	// A slot is free when the shortest of the running answers is complete, on average after half of the
+	// passes of an answer of usual length.
+	passes := float64(q.Engine.UsualAnswer) / float64(q.Engine.Stride) / 2
+	return float64(over) / float64(q.Engine.Slots) * passes * c.passMs
+}
+
 // lateLoss returns the expected loss of a request by the predicted time to its first event, with a slope
 // around the target because predictions are inexact.
 func (t *LoadTable) lateLoss(q Query, predicted time.Duration) float64 {
--- a/core/placement/parts.go
+++ b/core/placement/parts.go
@@ -27,7 +27,7 @@
 		return Choice{}, false
 	}
 	choice := Choice{Server: chosen[0].Server, Load: chosen[0].load(now), Unreachable: chosen[0].state.health.inBackoff(now), Reserved: reserved,
-		othersLoss: group.others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
+		othersLoss: group.others, SlotsTaken: chosen[0].requests >= q.Engine.Slots}
 	slowest := 0.0
 	for _, c := range chosen {
 		slowest = max(slowest, t.firstEventMs(c, q, prefillMs))
@@ -36,6 +36,7 @@
 		choice.Helpers = append(choice.Helpers, c.Server)
 	}
 	choice.Predicted = enginemodel.MillisToDuration(slowest) + t.options.NetworkTime
+	choice.FirstEvent = choice.Predicted - enginemodel.MillisToDuration(slotWaitMs(chosen[0], q))
 	choice.AnswerTime = chosen[0].answering(q, parts)
 	if reserved != nil && q.ReservationTimeout > 0 && choice.Predicted > q.ReservationTimeout {
 		return Choice{}, false
--- a/core/waiting/peers.go
+++ b/core/waiting/peers.go
@@ -153,3 +153,14 @@
 	phase := float64(lower) / float64(entries)
 	return int((float64(index) + phase) * float64(total) / float64(q.kept()))
 }
+
+// PeersHeard returns the number of peers whose reports hold, and the age of the oldest of these.
+func (q *Queue) PeersHeard(now time.Time) (count int, oldest time.Duration) {
+	for _, p := range q.peers {
+		if age := now.Sub(p.at); age <= q.options.ReportLifetime {
+			count++
+			oldest = max(oldest, age)
+		}
+	}
+	return count, oldest
+}
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -50,6 +50,27 @@
 func (q *Queue) Len() int     { return len(q.waiting) }
 func (q *Queue) Bytes() int64 { return q.bytes }
 
+// Contended reports whether a request that arrives now has to be offered: others wait here or at a peer, or hold slots
+// that the load table still counts as free.
+func (q *Queue) Contended(now time.Time) bool { return q.Demand(now) > 0 || len(q.granted) > 0 }
+
+// Demand returns the number of requests that wait here and, by their reports, at the peers.
+func (q *Queue) Demand(now time.Time) int {
+	sum := len(q.waiting)
+	for _, p := range q.peers {
+		if now.Sub(p.at) <= q.options.ReportLifetime {
+			sum += p.promised + p.kept
+		}
+	}
+	return sum
+}
+
+// Wait predicts the time until a request that is offered now gets a slot if all that wait go before it.
+func (q *Queue) Wait(now time.Time, s Supply) time.Duration {
+	ahead := q.Demand(now) + len(q.granted) + 1 - s.Free
+	return time.Duration(max(ahead, 0)) * s.interval()
+}
+
 // Offer enqueues a request or refuses it.
 func (q *Queue) Offer(now time.Time, t Ticket, s Supply) Verdict {
 	if t.hopeless(now) {
--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -100,6 +100,8 @@
 	stall := e.watchStall(attemptCtx, choice, cancel)
 	defer stall.stop()
 	dispatched := e.s.trackBegin(dispatch, choice, e.service.Engine)
+	e.leaveQueue()
+	defer e.s.slotReleased(e.service, choice.Server) // after trackEnd
 	defer e.s.trackEnd(dispatched)
 	request := e.upstreamRequest(attemptCtx, choice, reservation)
 	e.phase.set(phaseSent)
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -26,7 +26,10 @@
 	if remote, ok := e.placeElsewhere(ctx, now, choice, refusal); ok {
 		return remote, ""
 	}
-	if refusal == placement.NoServer || refusal == placement.Paused {
+	switch refusal {
+	case awaitsSlot:
+		return e.awaitSlot(ctx, choice)
+	case placement.NoServer, placement.Paused:
 		// No other zone can be asked, and a server of unknown load is better than none.
 		return e.chooseAnywhere(now)
 	}
@@ -59,10 +62,10 @@
 
 // needsCrossZone reports whether the own zone has no good placement for the request.
 func (e *exchange) needsCrossZone(now time.Time, choice placement.Choice, refusal placement.Refusal) bool {
-	if e.service.Engine == nil || refusal == placement.Outlasts {
+	if e.service.Engine == nil || refusal == placement.Outlasts || e.turn.granted && refusal == "" {
 		return false
 	}
-	return refusal != "" || choice.Server.ID == "" || choice.Unreachable || choice.Predicted > e.route.Target-now.Sub(e.arrived)
+	return refusal != "" && refusal != awaitsSlot || choice.Server.ID == "" || choice.Unreachable || choice.Predicted > e.route.Target-now.Sub(e.arrived)
 }
 
 // zoneWithCapacity returns the address of an entry whose zone has clearly more spare capacity than
@@ -181,6 +184,10 @@
 		query := placement.Query{Engine: service.Engine, Exclude: slices.Clone(request.Exclude), PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens, Gap: d.Gap,
 			TieBreak: s.random.Float64(), Target: d.Target, Remaining: request.Remaining, ReservationTimeout: unusedTimeout(s.settings.ReservationIdle.D()),
 			Servers: servers}
+		query.NeedsSlot = s.queueFor(service, d.PromptTokens) != nil
+		if s.othersWait(now, service) {
+			return reply // they would be overtaken
+		}
 		choice, refusal := s.loadTable.Choose(now, s.restrict(now, service, query))
 		if !s.admitsForPeer(now, service, choice, refusal) {
 			return reply
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -70,6 +70,8 @@
 	lastEventAt time.Time
 	longestGap  time.Duration
 	phase       atomicPhase
+	// turn is the request's place in the queue for a slot; zero if it has not waited.
+	turn turn
 }
 
 // serveRequest processes one request until its final response.
--- a/entry/gateway/loadupdates.go
+++ b/entry/gateway/loadupdates.go
@@ -59,4 +59,5 @@
 	for _, id := range m.Ended {
 		s.loadTable.End(now, id)
 	}
+	s.observeQueues(now, m, restarted)
 }
--- a/entry/gateway/peerservices.go
+++ b/entry/gateway/peerservices.go
@@ -8,6 +8,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/waiting"
 	"arbutusdeck/core/zonestate"
 	"arbutusdeck/entry/peerlink"
 )
@@ -43,6 +44,8 @@
 	return p.s.loadTable.OpenDispatches(now)
 }
 
+func (p peerServices) QueueReports(now time.Time) []waiting.Report { return p.s.queueReports(now) }
+
 func (p peerServices) LimitStatements(now time.Time) []ratelimit.Statement {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -22,6 +22,7 @@
 	e.s.spiller.observeArrival(time.Now(), e.service.Name, e.info.PromptTokens)
 	ctx, cancel := e.context()
 	defer cancel()
+	defer e.leaveQueue()
 	for {
 		e.phase.set(phasePlacing)
 		now := time.Now()
@@ -111,13 +112,25 @@
 func (e *exchange) choose(now time.Time) (placement.Choice, placement.Refusal) {
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
+	choice, refusal := e.chooseUnrecorded(now)
+	if refusal == placement.NoSlot {
+		e.missSlot()
+		choice, refusal = e.chooseUnrecorded(now)
+	}
+	if choice, refusal = e.checkQueue(now, choice, refusal); refusal != awaitsSlot {
+		e.s.recordChoice(now, choice, refusal)
+	}
+	return choice, refusal
+}
+
+// chooseUnrecorded returns a choice that isn't counted against the rates of the servers yet; the caller holds the lock.
+func (e *exchange) chooseUnrecorded(now time.Time) (placement.Choice, placement.Refusal) {
 	excluded := e.forward.Excluded()
 	suspectServers := e.otherSuspectServers(now)
 	choice, refusal := e.s.loadTable.Choose(now, e.query(now, slices.Concat(excluded, suspectServers)))
 	if refusal != "" && len(suspectServers) > 0 {
 		choice, refusal = e.s.loadTable.Choose(now, e.query(now, excluded))
 	}
-	e.s.recordChoice(now, choice, refusal)
 	return choice, refusal
 }
 
@@ -140,7 +153,7 @@
 	return e.s.restrict(now, e.service, placement.Query{Engine: e.service.Engine, Exclude: slices.Clone(excluded), PromptTokens: e.info.PromptTokens,
 		AnswerTokens: e.outputTokens(), Gap: e.route.EventGap, TieBreak: e.draw,
 		Target: e.route.Target - now.Sub(e.arrived), Remaining: e.deadline.Sub(now) - responseMargin,
-		EntryLifetime: e.s.remainingLifetime(now), ReservationTimeout: unusedTimeout(e.s.settings.ReservationIdle.D()),
+		Queueing: e.queue() != nil, NeedsSlot: e.turn.granted, EntryLifetime: e.s.remainingLifetime(now), ReservationTimeout: unusedTimeout(e.s.settings.ReservationIdle.D()),
 		Servers: servers, Avoid: e.s.peers.SuspectServers(now, e.s.candidateServers(e.service))})
 }
 
@@ -170,8 +183,12 @@
 // placementRefusal returns the refusal of a request that found no server, with a jittered
 // Retry-After.
 func (e *exchange) placementRefusal(refusal placement.Refusal, choice placement.Choice) execution.Refusal {
-	if refusal == placement.Outlasts {
+	switch refusal {
+	case placement.Outlasts:
 		return e.shutdownRefusal()
+	case refusedByQueue:
+		// Its Retry-After is spread already.
+		return execution.Refusal{Code: execution.CodeQueueFull, Detail: "the requests that wait for a slot leave no time for this one", RetryAfter: choice.RetryAfter}
 	}
 	result := serviceRefusal(refusal, choice)
 	result.RetryAfter = e.jitter(result.RetryAfter)
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -105,6 +105,8 @@
 	// zone.
 	localRouting map[string]zonerouting.LocalRouting
 	budgets      map[string]*execution.RetryBudget
+	// queues holds the requests that wait for a slot, by service; empty if overload.queueing is off.
+	queues map[string]*slotQueue
 	// tracker tracks requests under which servers have crashed.
 	tracker *quarantine.Tracker
 	// separator sends those of them that are open at this entry to different servers.
@@ -125,7 +127,7 @@
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(placement.DefaultOptions(settings.Zone)),
 		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), pauses: retryafter.NewPauses(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
-		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		budgets: map[string]*execution.RetryBudget{}, queues: map[string]*slotQueue{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
@@ -303,6 +305,7 @@
 		s.pauses.Expire(now)
 		s.shareBudgets()
 		changes := s.directory.Expire(now, s.revision)
+		s.advanceQueues(now)
 		s.mu.Unlock()
 		s.reportServerChanges(changes, "platform")
 		s.updateQuarantine(now)
--- a/entry/gateway/shutdown.go
+++ b/entry/gateway/shutdown.go
@@ -14,6 +14,7 @@
 func (s *Server) beginShutdown() {
 	now := time.Now()
 	s.stopping.Store(&now)
+	s.stopQueues(now)
 	s.manager.Join()
 	time.AfterFunc(shutdownLinger, func() {
 		s.log.WithFields(logrus.Fields{"open": s.manager.Open() - 1}).Info("no new requests are taken")
--- a/entry/gateway/spillover.go
+++ b/entry/gateway/spillover.go
@@ -123,6 +123,9 @@
 // serviceState returns the state of this zone's servers of a service; the caller holds the lock.
 func (s *Server) serviceState(now time.Time, service *routes.Service) zonestate.ServiceState {
 	state := s.loadTable.ZoneState(now, s.restrict(now, service, placement.Query{Engine: service.Engine, Servers: s.candidateServers(service)}))
+	if queue := s.queues[service.Name]; queue != nil {
+		state.Waiting = queue.queue.Demand(now)
+	}
 	state.Service, state.DemandPerS = service.Name, s.spiller.demandOf(now, service.Name)
 	return state
 }
@@ -149,7 +152,7 @@
 
 // offer converts a choice into what a zone offers for a request.
 func offer(choice placement.Choice, refusal placement.Refusal) spillover.Placement {
-	return spillover.Placement{Refused: refusal != "" || choice.Server.ID == "" || choice.Unreachable, Predicted: choice.Predicted}
+	return spillover.Placement{Refused: refusal != "" && refusal != awaitsSlot || choice.Server.ID == "" || choice.Unreachable, Predicted: choice.Predicted}
 }
 
 // spill places the request in a zone with room for it; false if no zone is asked, or the asked one doesn't take it.
--- a/entry/peerlink/heartbeats.go
+++ b/entry/peerlink/heartbeats.go
@@ -30,6 +30,7 @@
 // heartbeats to entries of other zones. It returns the entries that are suspect.
 func (l *Link) sendHeartbeats(now time.Time, turn int) (suspects []string) {
 	local := l.recordsDigest()
+	local.Queue = l.options.Loads.QueueReports(now)
 	l.mu.Lock()
 	l.group.Forget(now)
 	heartbeat := l.group.HeartbeatTargets(now, turn)
--- a/entry/peerlink/interfaces.go
+++ b/entry/peerlink/interfaces.go
@@ -10,6 +10,7 @@
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/waiting"
 	"arbutusdeck/core/zonestate"
 )
 
@@ -47,6 +48,8 @@
 	// OpenDispatches returns the open dispatches of this entry, and the identifiers of those that
 	// have had their first event.
 	OpenDispatches(now time.Time) (dispatches []placement.Dispatch, firstEvents []string)
+	// QueueReports returns the state of the queues of requests that wait for a slot; nil if there are none.
+	QueueReports(now time.Time) []waiting.Report
 	// LimitStatements returns what servers have stated to this entry about their request limits.
 	LimitStatements(now time.Time) []ratelimit.Statement
 	// SpareCapacity returns the spare capacity (0 to 1) in heartbeats to other zones.
--- a/entry/peerlink/outbox.go
+++ b/entry/peerlink/outbox.go
@@ -6,6 +6,7 @@
 
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
+	"arbutusdeck/core/waiting"
 )
 
 const (
@@ -24,6 +25,13 @@
 type outbox struct {
 	pending  map[string]*peering.Message
 	flushing bool
+	// granted holds the slots that are passed on to peers, sent after the ends that made them free.
+	granted []grant
+}
+
+type grant struct {
+	peer   string
+	report waiting.Report
 }
 
 // to returns the pending message for a zone.
@@ -70,6 +78,26 @@
 	l.scheduleFlush()
 }
 
+// FlushDelay is the time for which first events, ends and reports of queues are batched.
+const FlushDelay = flushDelay
+
+// SendQueue reports the state of a queue of requests that wait for a slot to the local entries. A newer report replaces
+// one that isn't sent yet.
+func (l *Link) SendQueue(r waiting.Report) {
+	l.enqueue(DispatchRef{}, func(m *peering.Message) {
+		m.Queue = append(slices.DeleteFunc(m.Queue, func(other waiting.Report) bool { return other.Service == r.Service }), r)
+	})
+	l.scheduleFlush()
+}
+
+// PassSlot tells a peer that it may use the slots of Report.Granted, after the ends that are reported so far.
+func (l *Link) PassSlot(peer string, r waiting.Report) {
+	l.mu.Lock()
+	l.outbox.granted = append(l.outbox.granted, grant{peer, r})
+	l.mu.Unlock()
+	l.scheduleFlush()
+}
+
 // RemoteZones returns the other zones of a choice's servers; none while routing is not zone-local,
 // since all entries are then notified anyway.
 func (l *Link) RemoteZones(choice placement.Choice) []string {
@@ -113,7 +141,7 @@
 func (l *Link) flush() {
 	now := time.Now()
 	l.mu.Lock()
-	pending := l.outbox.pending
+	pending, granted := l.outbox.pending, l.outbox.granted
 	l.outbox = outbox{}
 	targets := map[string][]string{}
 	for zone := range pending {
@@ -124,6 +152,9 @@
 		updates.Relay = zone != ""
 		l.sendLoadUpdates(targets[zone], *updates)
 	}
+	for _, g := range granted {
+		l.send([]string{g.peer}, peering.Message{Queue: []waiting.Report{g.report}})
+	}
 }
 
 // updateTargets returns the entries that get the updates for a zone: the local ones for the empty
@@ -155,7 +186,7 @@
 		l.send(targets, peering.Message{Dispatches: updates.Dispatches[:maxDispatches], Relay: updates.Relay})
 		updates.Dispatches = updates.Dispatches[maxDispatches:]
 	}
-	if updates.HasEvents() {
+	if updates.HasEvents() || len(updates.Queue) > 0 {
 		l.send(targets, updates)
 	}
 }
