Fail the test of a caller that gives up where its place is only removed at its deadline

Cause: without the deferred leaveQueue the test passed, since the queue refuses the request when its time ends after six seconds, within the twenty that the test waited. Change: it has to leave within two seconds.

--- a/entry/gateway/waiting_test.go
+++ b/entry/gateway/waiting_test.go
@@ -261,7 +261,8 @@
 	w.eventually("the request waits", s.waits(1))
 	cancel()
 	require.Error(t, (<-done).err)
-	w.eventually("it has left", s.waits(0))
+	// Well before the end of its time after six seconds, at which the queue would refuse it.
+	require.Eventually(t, s.waits(0), 2*time.Second, 5*time.Millisecond, "it has left")
 	end()
 	require.Equal(t, http.StatusOK, w.call(s, http.MethodPost, "/stream/", 2000, "x").status)
 	require.Equal(t, 1, w.runCount())
