The book of claims for memory, and its use in a choice

Cause: prompts that need more memory than is free are refused, and any other prompt takes what becomes free (docs/design/hard-load.md, section 5).

Conclusion: not yet used by an entry.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
 )
@@ -34,6 +35,11 @@
 	// TieBreak is a random number from 0 to 1 that breaks ties between equal servers, so that entries that
 	// don't know of each other's choices don't all choose the same server.
 	TieBreak float64
+	// Withheld is the memory that is kept for the claims of others, by the servers' incarnations.
+	Withheld map[string]claims.Withheld
+	// ByMemory selects the servers of a prompt that exceeds the memory of one by their free memory as well. Without it
+	// costs alone select them, and the prompt is refused if they lack the memory, whatever others have.
+	ByMemory bool
 }
 
 // Pause excludes a server until a time, or a later one that is known.
@@ -173,6 +179,8 @@
 	prefill := enginemodel.MillisToDuration(q.Engine.PrefillMs(q.PromptTokens, usual))
 	most := usual
 	switch {
+	case q.ByMemory && q.PromptTokens+q.AnswerTokens > t.memoryShare(q):
+		most = t.options.MaxParts
 	case prefill > q.Remaining/2:
 		most = t.options.MaxParts
 	case prefill > q.Target:
--- /dev/null
+++ b/core/placement/claims.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"arbutusdeck/core/claims"
+	"arbutusdeck/core/enginemodel"
+)
+
+// MayClaim reports whether a prompt may wait for memory: short ones never wait at the entry.
+func (t *LoadTable) MayClaim(q Query) bool {
+	return q.Engine != nil && q.PromptTokens > t.options.ShortTokens
+}
+
+// Claim returns the claim of a query that found no memory. Its identity and Since are left to the caller.
+func (t *LoadTable) Claim(now time.Time, q Query) claims.Claim {
+	c := claims.Claim{Tokens: q.PromptTokens + q.AnswerTokens, Worth: t.value(q.PromptTokens)}
+	c.LateWorth = c.Worth * (1 - t.options.LateLoss)
+	parts := 1
+	if c.Tokens > t.memoryShare(q) {
+		parts = t.options.UsualParts
+	}
+	// A single answer at an idle server: the time is a lower bound, so that a claim isn't given up too early.
+	prefill := enginemodel.MillisToDuration(q.Engine.PrefillMs(q.PromptTokens, parts))
+	answer := enginemodel.MillisToDuration(q.Engine.AnswerMs(q.AnswerTokens, enginemodel.Batch{Answers: 1, ContextTokens: q.PromptTokens / int64(parts)}))
+	c.Hold = prefill + answer
+	c.Due, c.Until = now.Add(q.Target-prefill), now.Add(q.Remaining-prefill)
+	return c
+}
+
+func (t *LoadTable) memoryShare(q Query) int64 {
+	return int64(t.options.MemoryShare * float64(q.Engine.MemoryTokens))
+}
+
+// Memory returns the memory of the servers that a choice would consider, with what long prompts are expected to leave.
+func (t *LoadTable) Memory(now time.Time, q Query) []claims.Memory {
+	if q.Engine == nil {
+		return nil
+	}
+	var all []claims.Memory
+	for _, c := range t.candidates(now, q) {
+		m := claims.Memory{Server: c.IncarnationID(), Capacity: t.memoryShare(q), Free: max(c.free, 0)}
+		for _, w := range c.state.workItems {
+			if w.memory > 0 && w.dispatch.PromptTokens > t.options.ShortTokens {
+				m.Releases = append(m.Releases, claims.Release{After: t.expectedRelease(now, c, w), Tokens: w.memory})
+			}
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// expectedRelease returns the expected time until a dispatch ends: the prefill that is left where its answer is
+// written, and the passes of the answer.
+func (t *LoadTable) expectedRelease(now time.Time, c *candidate, w *workItem) time.Duration {
+	a := t.active[w.dispatch.ID]
+	if a == nil {
+		return 0
+	}
+	writer, batch, ahead := t.servers[w.dispatch.Server], c.batch, 0.0
+	if writer != nil {
+		writer.advance(now)
+		batch = writer.batch()
+	}
+	batch.Answers = max(batch.Answers, 1)
+	answer := enginemodel.MillisToDuration(c.state.engine.AnswerMs(w.dispatch.AnswerTokens, batch))
+	if a.answering {
+		return max(answer-now.Sub(a.answeringSince), 0)
+	}
+	for _, id := range append([]string{w.dispatch.Server}, w.dispatch.Helpers...) {
+		if s := t.servers[id]; s != nil {
+			s.advance(now)
+			ahead = max(ahead, s.backlogMs())
+		}
+	}
+	return enginemodel.MillisToDuration(ahead) + answer
+}
+
+// withhold applies what is kept for the claims of others to a server. A long prompt doesn't get that memory. A short
+// one does if every other server would cost more than the delay of the claims: it needs little memory and gives it back
+// soon, and held back by force it would be late while slots are free.
+func (t *LoadTable) withhold(c *candidate, q Query) {
+	kept, ok := q.Withheld[c.IncarnationID()]
+	if !ok {
+		return
+	}
+	if q.PromptTokens > t.options.ShortTokens {
+		c.free -= kept.Tokens
+		return
+	}
+	need := q.PromptTokens + q.AnswerTokens
+	if taken := min(need-(c.free-kept.Tokens), need); taken > 0 {
+		c.loss += kept.Loss * float64(taken)
+	}
+}
+
+// memoryGroup returns servers that together have the memory of a prompt which fits none, the cheapest first: each has
+// at least the mean of what is still needed. Where costs alone decide, the chosen servers often lack the memory while
+// others have it. It returns nil if the servers with the most memory lack it too.
+func (t *LoadTable) memoryGroup(all []ranked, q Query, parts int) *group {
+	need := q.PromptTokens + q.AnswerTokens
+	first := bestFirst(all, (need+int64(parts)-1)/int64(parts))
+	if first < 0 {
+		return largestGroup(all, need, parts)
+	}
+	g := newGroup(&all[first])
+	for need -= all[first].free; len(g.members) < parts; {
+		left := int64(parts - len(g.members))
+		next := g.cheapestWith(all, max((need+left-1)/left, 0))
+		if next == nil {
+			for i := range all {
+				all[i].taken = false
+			}
+			return largestGroup(all, q.PromptTokens+q.AnswerTokens, parts)
+		}
+		g.add(next)
+		need -= max(next.free, 0)
+	}
+	return g
+}
+
+// largestGroup returns the servers with the most free memory; nil if they lack the needed memory.
+func largestGroup(all []ranked, need int64, parts int) *group {
+	byMemory := make([]*ranked, len(all))
+	for i := range all {
+		byMemory[i] = &all[i]
+	}
+	slices.SortStableFunc(byMemory, func(a, b *ranked) int { return cmp.Compare(b.free, a.free) })
+	g := newGroup(byMemory[0])
+	need -= byMemory[0].free
+	for _, r := range byMemory[1:min(parts, len(byMemory))] {
+		g.add(r)
+		need -= max(r.free, 0)
+	}
+	if need > 0 || len(g.members) < parts {
+		return nil
+	}
+	return g
+}
--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -55,6 +55,8 @@
 	predicted time.Duration
 	// answering is set once the first event has come.
 	answering bool
+	// answeringSince is the time at which it came.
+	answeringSince time.Time
 	// prefillMs is the predicted prefill of all parts, in milliseconds.
 	prefillMs float64
 	// reported is the time up to which the held slot and memory were reported as usage.
@@ -141,6 +143,9 @@
 	if a == nil {
 		return
 	}
+	if !a.answering {
+		a.answeringSince = now
+	}
 	a.answering = true
 	if t.observeUsage != nil {
 		t.reportPrefill(now, a, 1)
