Claims between entries, and prompts that wait for memory at their entry

Cause: a prompt without memory is refused and meets the same refusal a second later.

Change: Message.Claims (32) with checks, sent by load updates and repeated with heartbeats. With overload.claims a prompt that finds no memory, here or in another zone, waits with a claim; ends of requests wake it. Without the setting no claim is stated or sent, and queries are as before.

--- a/core/claims/claim.go
+++ b/core/claims/claim.go
@@ -53,20 +53,20 @@
 	return c.Worth - c.LateWorth
 }
 
-// urgency returns the logarithm to base two, rounded down, of the value that is lost by waiting for each token and
-// second of memory. It is rounded because predictions of the value are rough: differences below a factor of two don't
-// overrule the time at which claims are due.
+// urgency returns the logarithm to base two, rounded down, of the value that is lost by waiting for each token. It is
+// rounded because predictions of the value are rough: differences below a factor of two don't overrule the time at
+// which claims are due.
+//
+// The time for which a prompt takes the memory isn't a divisor: it grows with the prompt, whose prefill takes the
+// longer, so that each prompt would come after all shorter ones and the largest would never get any memory.
 func (c *Claim) urgency(now time.Time) int {
-	perTokenSecond := c.loss(now) / (float64(max(c.Tokens, 1)) * max(c.Hold, minHold).Seconds())
-	if perTokenSecond <= 0 {
+	perToken := c.loss(now) / float64(max(c.Tokens, 1))
+	if perToken <= 0 {
 		return math.MinInt
 	}
-	return int(math.Floor(math.Log2(perTokenSecond)))
+	return int(math.Floor(math.Log2(perToken)))
 }
 
-// minHold bounds the time for which a prompt is predicted to take memory, as a divisor.
-const minHold = 10 * time.Millisecond
-
 // Compare orders claims at a time: a negative result means that a gets memory before b. The order is the same at all
 // entries except for the differences in transmission time of what they have heard.
 func Compare(now time.Time, a, b *Claim) int {
--- a/core/peering/codec.go
+++ b/core/peering/codec.go
@@ -58,6 +58,11 @@
 			return fmt.Errorf("server %s: %w", statement.Server, err)
 		}
 	}
+	for i := range m.Claims {
+		if err := m.Claims[i].Check(); err != nil {
+			return fmt.Errorf("claim %s: %w", m.Claims[i].ID, err)
+		}
+	}
 	if m.PlacementRequest != nil {
 		if err := m.PlacementRequest.Dispatch.Check(); err != nil {
 			return fmt.Errorf("placement request %s: %w", m.PlacementRequest.Dispatch.ID, err)
--- a/core/peering/codec_test.go
+++ b/core/peering/codec_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
@@ -80,6 +81,7 @@
 		},
 		"a limit":         func(m *Message) { m.Limits = []ratelimit.Statement{{Server: "i-1", Limited: true, PerSecond: -1}} },
 		"a limit to come": func(m *Message) { m.Limits = []ratelimit.Statement{{Server: "i-1", Age: -1}} },
+		"a claim":         func(m *Message) { m.Claims = []claims.Report{{ID: "c", Service: "engines"}} },
 		"a place":         func(m *Message) { m.PlacementReply = &PlacementReply{Reserved: []int64{1, 2}} },
 	} {
 		m := dispatchMessage()
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/evacuation"
 	"arbutusdeck/core/placement"
@@ -72,6 +73,9 @@
 	// Summary is the state of the sender's zone; nil if not given. Like SpareCapacity, which entries of versions
 	// that don't know it go by, it is sent to other zones.
 	Summary *zonestate.Summary `cbor:"30,keyasint,omitempty"`
+	// Claims are the prompts that wait at the sender for memory, as of the time of sending, and those that wait no
+	// longer. They are sent to the entries of the sender's zone.
+	Claims []claims.Report `cbor:"32,keyasint,omitempty"`
 }
 
 // ZoneSummary is the state of a zone as its entries report it.
@@ -152,5 +156,5 @@
 
 // HasEvents reports whether the message carries events of requests or servers.
 func (m *Message) HasEvents() bool {
-	return len(m.Dispatches)+len(m.FirstEvents)+len(m.Ended)+len(m.Unreachable)+len(m.Records)+len(m.Limits) > 0
+	return len(m.Dispatches)+len(m.FirstEvents)+len(m.Ended)+len(m.Unreachable)+len(m.Records)+len(m.Limits)+len(m.Claims) > 0
 }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -40,6 +40,8 @@
 	// ByMemory selects the servers of a prompt that exceeds the memory of one by their free memory as well. Without it
 	// costs alone select them, and the prompt is refused if they lack the memory, whatever others have.
 	ByMemory bool
+	// Spread lets a prompt that would fit an empty server, and fits none now, take reservations at several.
+	Spread bool
 }
 
 // Pause excludes a server until a time, or a later one that is known.
@@ -263,6 +265,7 @@
 	if c.batch.Answers > 0 {
 		c.passMs = q.Engine.PassMs(c.batch) * s.health.slowdown()
 	}
+	t.withhold(c, q)
 }
 
 // answering returns the predicted time in which the server writes the answer, along with the answers that it
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -18,10 +18,7 @@
 func (t *LoadTable) Claim(now time.Time, q Query) claims.Claim {
 	c := claims.Claim{Tokens: q.PromptTokens + q.AnswerTokens, Worth: t.value(q.PromptTokens)}
 	c.LateWorth = c.Worth * (1 - t.options.LateLoss)
-	parts := 1
-	if c.Tokens > t.memoryShare(q) {
-		parts = t.options.UsualParts
-	}
+	parts := t.options.UsualParts
 	// A single answer at an idle server: the time is a lower bound, so that a claim isn't given up too early.
 	prefill := enginemodel.MillisToDuration(q.Engine.PrefillMs(q.PromptTokens, parts))
 	answer := enginemodel.MillisToDuration(q.Engine.AnswerMs(q.AnswerTokens, enginemodel.Batch{Answers: 1, ContextTokens: q.PromptTokens / int64(parts)}))
@@ -139,3 +136,17 @@
 	}
 	return g
 }
+
+// NewsAge returns the time since the latest begin, first event or end at any server; 0 if there was none yet.
+func (t *LoadTable) NewsAge(now time.Time) time.Duration {
+	var latest time.Time
+	for _, s := range t.servers {
+		if s.updatedAt.After(latest) {
+			latest = s.updatedAt
+		}
+	}
+	if latest.IsZero() {
+		return 0
+	}
+	return now.Sub(latest)
+}
--- a/core/placement/parts.go
+++ b/core/placement/parts.go
@@ -46,6 +46,9 @@
 		return t.memoryGroup(all, q, parts)
 	}
 	first := t.pickFirst(all, q, parts)
+	if first < 0 && q.Spread && parts > 1 {
+		return t.memoryGroup(all, q, parts)
+	}
 	if first < 0 {
 		return nil
 	}
--- a/entry/gateway/counters.go
+++ b/entry/gateway/counters.go
@@ -8,6 +8,7 @@
 	requests, complete, refused, unknown, callersGone, crossZone, quarantined metrics.Counter
 	retried, resumed, redispatched, serversCrashed                            metrics.Counter
 	storeErrors, rowsRejected                                                 metrics.Counter
+	claimsGranted, claimsHopeless, claimsFull, claimsEnded                    metrics.Counter
 	linesDropped                                                              metrics.Counter
 	firstByte, wholeResponse                                                  metrics.Timer
 }
@@ -28,6 +29,10 @@
 		serversCrashed: counter("attempts.server.ended"),
 		storeErrors:    counter("store.errors"),
 		rowsRejected:   counter("store.rows.rejected"),
+		claimsGranted:  counter("claims.granted"),
+		claimsHopeless: counter("claims.refused.hopeless"),
+		claimsFull:     counter("claims.refused.full"),
+		claimsEnded:    counter("claims.ended"),
 		linesDropped:   counter("log.lines.dropped"),
 		firstByte:      metrics.NewRegisteredTimer("first.byte", r),
 		wholeResponse:  metrics.NewRegisteredTimer("whole.answer", r),
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
@@ -26,6 +27,7 @@
 	if e.needsCrossZone(now, choice, refusal) {
 		e.crossZoneAskedAt = now
 		if remote, ok := e.placeCrossZone(ctx, now); ok {
+			e.endClaim("placed in another zone")
 			return remote, ""
 		}
 	}
@@ -33,7 +35,7 @@
 		// No other zone can be asked, and a server of unknown load is better than none.
 		return e.chooseAnywhere(now)
 	}
-	return choice, refusal
+	return e.orClaim(now, choice, refusal)
 }
 
 // placeCrossZone requests a placement from the zone with the most spare capacity, if that is
@@ -156,7 +158,7 @@
 		query := placement.Query{Engine: service.Engine, Exclude: slices.Clone(request.Exclude), PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens, Gap: d.Gap,
 			TieBreak: s.random.Float64(), Target: d.Target, Remaining: request.Remaining, ReservationTimeout: unusedTimeout(s.settings.ReservationIdle.D()),
 			Servers: servers}
-		choice, refusal := s.loadTable.Choose(now, s.restrict(now, service, query))
+		choice, refusal := s.loadTable.Choose(now, s.withholdClaims(now, service.Name, claims.Claim{}, s.restrict(now, service, query)))
 		s.recordChoice(now, choice, refusal)
 		if refusal == "" && choice.Wait == 0 {
 			reply.Server, reply.Helpers, reply.Reserved, reply.Predicted = choice.Server.IncarnationID(), directory.IncarnationIDs(choice.Helpers), choice.Reserved, choice.Predicted
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -70,6 +70,8 @@
 	lastEventAt time.Time
 	longestGap  time.Duration
 	phase       atomicPhase
+	// claim is what the request waits for while it waits for memory.
+	claim memoryClaim
 }
 
 // serveRequest processes one request until its final response.
--- a/entry/gateway/loadupdates.go
+++ b/entry/gateway/loadupdates.go
@@ -29,6 +29,7 @@
 func (s *Server) trackEnd(ref peerlink.DispatchRef) {
 	s.mu.Lock()
 	s.loadTable.End(time.Now(), ref.ID)
+	s.wakeClaims()
 	s.mu.Unlock()
 	s.peers.SendEnd(ref)
 }
@@ -58,4 +59,5 @@
 	for _, id := range m.Ended {
 		s.loadTable.End(now, id)
 	}
+	s.learnClaims(now, m, restarted)
 }
--- a/entry/gateway/peerservices.go
+++ b/entry/gateway/peerservices.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
@@ -48,6 +49,8 @@
 	return p.s.limiter.Statements(now)
 }
 
+func (p peerServices) Claims(now time.Time) []claims.Report { return p.s.claimReports(now) }
+
 func (p peerServices) SpareCapacity(now time.Time) float64 { return p.s.advertisedSpareCapacity(now) }
 
 func (p peerServices) RecordsDigest() uint32 {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -21,6 +21,7 @@
 	e.s.countRequest(e.service.Name)
 	ctx, cancel := e.context()
 	defer cancel()
+	defer e.endClaim("ended")
 	for {
 		e.phase.set(phasePlacing)
 		now := time.Now()
@@ -99,6 +100,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-e.claim.wake:
 	case <-ctx.Done():
 	}
 }
@@ -136,11 +138,11 @@
 
 // queryAmong returns the placement query for a choice among servers; the caller holds the lock.
 func (e *exchange) queryAmong(now time.Time, servers []directory.Server, excluded []string) placement.Query {
-	return e.s.restrict(now, e.service, placement.Query{Engine: e.service.Engine, Exclude: slices.Clone(excluded), PromptTokens: e.info.PromptTokens,
+	return e.withClaims(now, e.s.restrict(now, e.service, placement.Query{Engine: e.service.Engine, Exclude: slices.Clone(excluded), PromptTokens: e.info.PromptTokens,
 		AnswerTokens: e.outputTokens(), Gap: e.route.EventGap, TieBreak: e.draw,
 		Target: e.route.Target - now.Sub(e.arrived), Remaining: e.deadline.Sub(now) - responseMargin,
 		EntryLifetime: e.s.remainingLifetime(now), ReservationTimeout: unusedTimeout(e.s.settings.ReservationIdle.D()),
-		Servers: servers, Avoid: e.s.peers.SuspectServers(now, e.s.candidateServers(e.service))})
+		Servers: servers, Avoid: e.s.peers.SuspectServers(now, e.s.candidateServers(e.service))}))
 }
 
 // candidateServers returns the servers of a service that this entry chooses among; the caller holds
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -20,6 +20,7 @@
 	"arbutusdeck/core/admin"
 	"arbutusdeck/core/admission"
 	"arbutusdeck/core/audit"
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/coldstart"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/evacuation"
@@ -105,6 +106,9 @@
 	budgets      map[string]*execution.RetryBudget
 	// tracker tracks requests under which servers have crashed.
 	tracker *quarantine.Tracker
+	// claims are the prompts of this zone that wait for memory, claimWaiters the requests among them that wait here.
+	claims       *claims.Book
+	claimWaiters map[*exchange]struct{}
 	// separator sends those of them that are open at this entry to different servers.
 	separator     *quarantine.Separator
 	random        *rand.Rand
@@ -123,7 +127,8 @@
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(placement.DefaultOptions(settings.Zone)),
 		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), pauses: retryafter.NewPauses(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
-		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(),
+		claims: claims.New(claims.Options{ReportTTL: claimReportTTL}), claimWaiters: map[*exchange]struct{}{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
 	s.counters = newCounters(s.registry)
@@ -143,6 +148,7 @@
 	s.gauge("servers.limited", s.limiter.Count)
 	s.gauge("servers.paused", func() int { return len(s.pauses.Active(time.Now())) })
 	s.registerEvacuationGauges()
+	s.registerClaimMetrics()
 	return s
 }
 
@@ -296,6 +302,7 @@
 		s.cold.Expire(now)
 		s.limiter.Expire(now, s.directory.IsCurrent)
 		s.pauses.Expire(now)
+		s.claims.Expire(now)
 		s.shareBudgets()
 		changes := s.directory.Expire(now, s.revision)
 		s.mu.Unlock()
--- a/entry/gateway/shutdown.go
+++ b/entry/gateway/shutdown.go
@@ -15,6 +15,9 @@
 	now := time.Now()
 	s.stopping.Store(&now)
 	s.manager.Join()
+	s.mu.Lock()
+	s.wakeClaims()
+	s.mu.Unlock()
 	time.AfterFunc(shutdownLinger, func() {
 		s.log.WithFields(logrus.Fields{"open": s.manager.Open() - 1}).Info("no new requests are taken")
 		s.connections.closeIdle(time.Now(), 0)
--- a/entry/peerlink/heartbeats.go
+++ b/entry/peerlink/heartbeats.go
@@ -16,6 +16,7 @@
 	for turn := 0; ; turn++ {
 		now := time.Now()
 		l.logSuspects(l.sendHeartbeats(now, turn))
+		l.repeatClaims(now)
 		l.AnnounceLimits(now, turn%remoteLimitInterval == 0)
 		l.catchUp(now)
 		select {
--- a/entry/peerlink/interfaces.go
+++ b/entry/peerlink/interfaces.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/quarantine"
@@ -48,6 +49,8 @@
 	OpenDispatches(now time.Time) (dispatches []placement.Dispatch, firstEvents []string)
 	// LimitStatements returns what servers have stated to this entry about their request limits.
 	LimitStatements(now time.Time) []ratelimit.Statement
+	// Claims returns the prompts that wait at this entry for memory.
+	Claims(now time.Time) []claims.Report
 	// SpareCapacity returns the spare capacity (0 to 1) in heartbeats to other zones.
 	SpareCapacity(now time.Time) float64
 }
--- a/entry/peerlink/outbox.go
+++ b/entry/peerlink/outbox.go
@@ -150,7 +150,8 @@
 func (l *Link) sendLoadUpdates(targets []string, updates peering.Message) {
 	l.sendRecords(targets, updates.Records, updates.Relay)
 	l.sendLimits(targets, updates.Limits, updates.Relay)
-	updates.Records, updates.Limits = nil, nil
+	l.sendClaims(targets, updates.Claims)
+	updates.Records, updates.Limits, updates.Claims = nil, nil, nil
 	for len(updates.Dispatches) > maxDispatches {
 		l.send(targets, peering.Message{Dispatches: updates.Dispatches[:maxDispatches], Relay: updates.Relay})
 		updates.Dispatches = updates.Dispatches[maxDispatches:]
--- /dev/null
+++ b/proof/forwarding/claims_test.go
@@ -0,0 +1,56 @@
+package forwarding
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"arbutusdeck/core/placement"
+)
+
+// sumMemory simulates a deployment with several seeds and adds what became of its prompts for lack of memory.
+func sumMemory(deployment Deployment, seeds int) (*Result, MemoryResult) {
+	results := make([]*Result, seeds)
+	forEach(seeds, func(seed int) { results[seed] = Simulate(deployment, uint64(seed), placement.DefaultOptions("")) })
+	var m MemoryResult
+	for _, r := range results {
+		m.Huge += r.Memory.Huge
+		m.HugeInTime += r.Memory.HugeInTime
+		m.Refused += r.Memory.Refused
+		m.RefusedTwice += r.Memory.RefusedTwice
+		m.Claims += r.Memory.Claims
+		m.Hopeless += r.Memory.Hopeless
+	}
+	return sum(results), m
+}
+
+func printMemory(name string, load float64, r *Result, m MemoryResult) {
+	fmt.Fprintf(os.Stderr, "%-18s load %.1f worth %.3f score %.3f", name, load, r.Worth(), r.Score())
+	for _, c := range r.Classes {
+		fmt.Fprintf(os.Stderr, " | in time %.4f late %.3f failed %.3f", float64(c.InTime)/float64(c.Requests), float64(c.Late)/float64(c.Requests), float64(c.Failed)/float64(c.Requests))
+	}
+	fmt.Fprintf(os.Stderr, " | huge in time %d/%d refused %d twice %d claims %d hopeless %d\n", m.HugeInTime, m.Huge, m.Refused, m.RefusedTwice, m.Claims, m.Hopeless)
+}
+
+// BenchmarkClaims compares ways of giving memory to the largest prompts, on standard error.
+func BenchmarkClaims(b *testing.B) {
+	for _, load := range []float64{1, 1.4} {
+		for _, way := range []struct {
+			name   string
+			change func(*Deployment)
+		}{
+			{"without", func(*Deployment) {}},
+			{"claims", func(d *Deployment) { d.Claims = true }},
+			{"wait, no order", func(d *Deployment) { d.Claims, d.WithholdNothing = true, true }},
+			{"claims, by cost", func(d *Deployment) { d.Claims, d.ClaimsByCost = true, true }},
+			{"claims, spread", func(d *Deployment) { d.Claims, d.ClaimsSpread = true, true }},
+			{"wait, spread", func(d *Deployment) { d.Claims, d.ClaimsSpread, d.WithholdNothing = true, true, true }},
+			{"wait, by cost", func(d *Deployment) { d.Claims, d.ClaimsByCost, d.WithholdNothing = true, true, true }},
+		} {
+			deployment := LargePrompts(load)
+			way.change(&deployment)
+			r, m := sumMemory(deployment, 3)
+			printMemory(way.name, load, r, m)
+		}
+	}
+}
--- a/proof/forwarding/deployment.go
+++ b/proof/forwarding/deployment.go
@@ -68,6 +68,10 @@
 	// HintSpread is the standard deviation of the logarithm of the callers' estimates of the output
 	// length.
 	HintSpread float64
+	// Claims lets prompts that find no memory wait with a claim. WithholdNothing lets them wait without an order among
+	// entries, ClaimsByCost chooses groups of servers by cost alone, ClaimsSpread
+	// spreads prompts that would fit an empty server as well; these are for comparison.
+	Claims, WithholdNothing, ClaimsByCost, ClaimsSpread bool
 }
 
 // phaseAt returns a phase that starts at a second and multiplies the usual rates of the three classes.
--- a/proof/forwarding/request.go
+++ b/proof/forwarding/request.go
@@ -38,7 +38,18 @@
 	waited := enginemodel.MillisToDuration(s.now - r.arrived)
 	query := placement.Query{Servers: s.serversFor(r.entry), Avoid: s.avoided(r.entry), Engine: &s.deployment.Engine, Exclude: r.excluded, PromptTokens: r.promptTokens, AnswerTokens: r.outputHint,
 		Target: max(r.class.Target-waited, time.Millisecond), Gap: r.class.Gap, Remaining: r.class.Deadline - waited, TieBreak: s.ties.Float64()}
+	s.useClaims(r, &query)
 	choice, refusal := table.Choose(s.clock(), query)
+	if refusal == placement.NoMemory && s.awaitMemory(r, query, &choice) {
+		return
+	}
+	s.withdrawClaim(r)
+	if refusal == placement.NoMemory {
+		s.result.Memory.Refused++
+		if r.memoryRefusals++; r.memoryRefusals == 2 {
+			s.result.Memory.RefusedTwice++
+		}
+	}
 	if refusal != "" {
 		s.refuse(r, choice.RetryAfter)
 		return
@@ -265,6 +276,9 @@
 		s.result.addEarned(r, late)
 	default:
 		r.stats.InTime++
+		if r.promptTokens >= hugeTokens {
+			s.result.Memory.HugeInTime++
+		}
 		s.result.addEarned(r, full)
 	}
 }
@@ -297,6 +311,7 @@
 // end marks a request as done and ends its attempt.
 func (s *simulation) end(r *request) {
 	r.done = true
+	s.withdrawClaim(r)
 	s.endAttempt(r)
 }
 
--- a/proof/forwarding/result.go
+++ b/proof/forwarding/result.go
@@ -56,6 +56,7 @@
 	Windows []Window
 	// UpperBound is a worth that no scheduler can exceed, as a share of the demand.
 	UpperBound float64
+	Memory     MemoryResult
 	// Connections counts the new connections to servers.
 	Connections int
 }
--- a/proof/forwarding/simulation.go
+++ b/proof/forwarding/simulation.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
 	"arbutusdeck/core/peering"
@@ -28,6 +29,7 @@
 	now     float64
 	queue   events
 	entries []*placement.LoadTable
+	books   []*claims.Book
 	servers []directory.Server
 	engines map[string]*enginemodel.Batcher
 	// jobs are the attempts that engines work on, by their identifiers.
@@ -75,6 +77,10 @@
 	excluded      []string
 	// written counts the events that were delivered before the current attempt.
 	written int
+	// claimID is the claim with which it waits for memory; empty if it has none. memoryRefusals counts its refusals for
+	// lack of memory.
+	claimID        string
+	memoryRefusals int
 	// waiting marks a caller that waits for its next retry.
 	waiting bool
 }
@@ -107,6 +113,7 @@
 	for i := range deployment.Entries {
 		options.Zone = zoneName(i % deployment.Zones)
 		s.entries = append(s.entries, placement.NewLoadTable(options))
+		s.books = append(s.books, claims.New(claims.Options{ReportTTL: 1500 * time.Millisecond}))
 	}
 	for i := range deployment.Engines {
 		server := directory.Server{ID: fmt.Sprintf("e%03d", i), Service: "engines", Zone: zoneName(i % deployment.Zones), Slots: deployment.Engine.Slots}
@@ -195,6 +202,9 @@
 	r.outputTokens = int64(lognormal(s.random, c.Events, c.EventSpread, c.EventMax) * float64(s.deployment.Engine.Stride))
 	r.outputHint = int64(lognormal(s.random, float64(r.outputTokens), s.deployment.HintSpread, 10*float64(r.outputTokens)))
 	out.Requests++
+	if r.promptTokens >= hugeTokens {
+		s.result.Memory.Huge++
+	}
 	full, _ := c.worth(float64(r.promptTokens))
 	r.sizeClass = c.sizeClassOf(float64(r.promptTokens))
 	s.result.addDemand(r, full)
