--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -37,11 +37,6 @@
 	TieBreak float64
 	// Withheld is the memory that is kept for the claims of others, by the servers' incarnations.
 	Withheld map[string]claims.Withheld
-	// ByMemory selects the servers of a prompt that exceeds the memory of one by their free memory as well. Without it
-	// costs alone select them, and the prompt is refused if they lack the memory, whatever others have.
-	ByMemory bool
-	// Spread lets a prompt that would fit an empty server, and fits none now, take reservations at several.
-	Spread bool
 }
 
 // Pause excludes a server until a time, or a later one that is known.
@@ -181,8 +176,6 @@
 	prefill := enginemodel.MillisToDuration(q.Engine.PrefillMs(q.PromptTokens, usual))
 	most := usual
 	switch {
-	case q.ByMemory && q.PromptTokens+q.AnswerTokens > t.memoryShare(q):
-		most = t.options.MaxParts
 	case prefill > q.Remaining/2:
 		most = t.options.MaxParts
 	case prefill > q.Target:
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"arbutusdeck/core/claims"
@@ -93,50 +91,6 @@
 	}
 }
 
-// memoryGroup returns servers that together have the memory of a prompt which fits none, the cheapest first: each has
-// at least the mean of what is still needed. Where costs alone decide, the chosen servers often lack the memory while
-// others have it. It returns nil if the servers with the most memory lack it too.
-func (t *LoadTable) memoryGroup(all []ranked, q Query, parts int) *group {
-	need := q.PromptTokens + q.AnswerTokens
-	first := bestFirst(all, (need+int64(parts)-1)/int64(parts))
-	if first < 0 {
-		return largestGroup(all, need, parts)
-	}
-	g := newGroup(&all[first])
-	for need -= all[first].free; len(g.members) < parts; {
-		left := int64(parts - len(g.members))
-		next := g.cheapestWith(all, max((need+left-1)/left, 0))
-		if next == nil {
-			for i := range all {
-				all[i].taken = false
-			}
-			return largestGroup(all, q.PromptTokens+q.AnswerTokens, parts)
-		}
-		g.add(next)
-		need -= max(next.free, 0)
-	}
-	return g
-}
-
-// largestGroup returns the servers with the most free memory; nil if they lack the needed memory.
-func largestGroup(all []ranked, need int64, parts int) *group {
-	byMemory := make([]*ranked, len(all))
-	for i := range all {
-		byMemory[i] = &all[i]
-	}
-	slices.SortStableFunc(byMemory, func(a, b *ranked) int { return cmp.Compare(b.free, a.free) })
-	g := newGroup(byMemory[0])
-	need -= byMemory[0].free
-	for _, r := range byMemory[1:min(parts, len(byMemory))] {
-		g.add(r)
-		need -= max(r.free, 0)
-	}
-	if need > 0 || len(g.members) < parts {
-		return nil
-	}
-	return g
-}
-
 // NewsAge returns the time since the latest begin, first event or end at any server; 0 if there was none yet.
 func (t *LoadTable) NewsAge(now time.Time) time.Duration {
 	var latest time.Time
--- a/core/placement/parts.go
+++ b/core/placement/parts.go
@@ -13,10 +13,14 @@
 func (t *LoadTable) chooseParts(now time.Time, candidates []*candidate, q Query, parts int) (Choice, bool) {
 	prefillMs := q.Engine.PrefillMs(q.PromptTokens, parts)
 	ranked := t.rank(now, candidates, q, prefillMs, parts > 1)
-	group := t.pickGroup(ranked, q, parts)
-	if group == nil {
+	first := t.pickFirst(ranked, q, parts)
+	if first < 0 {
 		return Choice{}, false
 	}
+	group := newGroup(&ranked[first])
+	for len(group.members) < parts {
+		group.add(group.cheapest(ranked))
+	}
 	chosen := group.members
 	reserved, ok := t.reserveMemory(chosen, q)
 	if !ok {
@@ -40,25 +44,6 @@
 	return choice, true
 }
 
-// pickGroup returns the servers that prefill the parts of a prompt; nil if they lack the memory.
-func (t *LoadTable) pickGroup(all []ranked, q Query, parts int) *group {
-	if q.ByMemory && parts > 1 && q.PromptTokens+q.AnswerTokens > t.memoryShare(q) {
-		return t.memoryGroup(all, q, parts)
-	}
-	first := t.pickFirst(all, q, parts)
-	if first < 0 && q.Spread && parts > 1 {
-		return t.memoryGroup(all, q, parts)
-	}
-	if first < 0 {
-		return nil
-	}
-	group := newGroup(&all[first])
-	for len(group.members) < parts {
-		group.add(group.cheapest(all))
-	}
-	return group
-}
-
 type ranked struct {
 	*candidate
 	// loss applies to the server that writes the answer, helperLoss to one that only prefills.
@@ -94,14 +79,11 @@
 }
 
 // cheapest returns the server at which one more part costs least.
-func (g *group) cheapest(all []ranked) *ranked { return g.cheapestWith(all, math.MinInt64) }
-
-// cheapestWith is cheapest among the servers with some free memory; nil if there are none.
-func (g *group) cheapestWith(all []ranked, free int64) *ranked {
+func (g *group) cheapest(all []ranked) *ranked {
 	var best *ranked
 	lowest := math.Inf(1)
 	for i := range all {
-		if r := &all[i]; !r.taken && r.free >= free && r.order-g.alreadyCounted(r) < lowest {
+		if r := &all[i]; !r.taken && r.order-g.alreadyCounted(r) < lowest {
 			best, lowest = r, r.order-g.alreadyCounted(r)
 		}
 	}
--- a/entry/gateway/claims.go
+++ b/entry/gateway/claims.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +34,9 @@
 	wake     chan struct{}
 	since    time.Time
 	chosenAt time.Time
-	parts    []claims.Part
+	// waking is set while a wake-up is under way.
+	waking bool
+	parts  []claims.Part
 }
 
 // claimsEnabled reports whether prompts wait with claims; the caller holds the lock.
@@ -45,9 +48,7 @@
 		return q
 	}
 	own, _ := e.s.claims.Get(now, e.claim.id)
-	q = e.s.withholdClaims(now, e.service.Name, own, q)
-	q.ByMemory = true
-	return q
+	return e.s.withholdClaims(now, e.service.Name, own, q)
 }
 
 // withholdClaims adds to a query what is kept for the claims that come before own. A query without a claim is compared
@@ -67,7 +68,12 @@
 // orClaim lets a request that found no memory wait with a claim: the returned choice then has a Wait. Any other result
 // ends the request's claim.
 func (e *exchange) orClaim(now time.Time, choice placement.Choice, refusal placement.Refusal) (placement.Choice, placement.Refusal) {
-	if refusal != placement.NoMemory {
+	switch {
+	case refusal == "" && choice.Wait > 0:
+		// It waits for others' prefill or for a paused server. Memory that it doesn't use yet isn't kept for it.
+		e.endClaim("waits for something else")
+		return choice, refusal
+	case refusal != placement.NoMemory:
 		e.endClaim(claimEnd(refusal))
 		return choice, refusal
 	}
@@ -103,7 +109,7 @@
 	c, known := s.claims.Get(now, e.claim.id)
 	if !known {
 		c = s.loadTable.Claim(now, q)
-		c.ID, c.Service, c.Since = s.newDispatchID(), e.service.Name, now
+		c.ID, c.Service, c.Since = strconv.FormatUint(s.random.Uint64(), 36), e.service.Name, now
 	}
 	servers := s.loadTable.Memory(now, q)
 	plan := s.claims.Designate(now, &c, servers)
@@ -123,7 +129,7 @@
 		s.claimWaiters[e] = struct{}{}
 		s.logClaim(e, c, plan, servers).Info("a prompt waits for memory")
 	}
-	e.claim.chosenAt = now
+	e.claim.chosenAt, e.claim.waking = now, false
 	if !known || !sameParts(e.claim.parts, c.Parts) {
 		e.claim.parts = c.Parts
 		for _, report := range s.claims.Reports(now) {
@@ -173,6 +179,10 @@
 // wakeClaims lets the requests that wait for memory choose again; the caller holds the lock.
 func (s *Server) wakeClaims() {
 	for e := range s.claimWaiters {
+		if e.claim.waking {
+			continue
+		}
+		e.claim.waking = true
 		wake := e.claim.wake
 		time.AfterFunc(max(claimChoiceInterval-time.Since(e.claim.chosenAt), 0), func() {
 			select {
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -33,7 +33,7 @@
 	}
 	if refusal == placement.NoServer || refusal == placement.Paused {
 		// No other zone can be asked, and a server of unknown load is better than none.
-		return e.chooseAnywhere(now)
+		choice, refusal = e.chooseAnywhere(now)
 	}
 	return e.orClaim(now, choice, refusal)
 }
--- a/proof/forwarding/claims.go
+++ b/proof/forwarding/claims.go
@@ -46,7 +46,6 @@
 		return
 	}
 	own := s.claim(r, *query)
-	query.ByMemory, query.Spread = !s.deployment.ClaimsByCost, s.deployment.ClaimsSpread
 	query.Withheld = s.books[r.entry].Withheld(s.clock(), &own)
 	if s.deployment.WithholdNothing {
 		query.Withheld = nil
@@ -74,6 +73,12 @@
 		s.sequence++
 		own.ID = fmt.Sprintf("claim-%d", s.sequence)
 	}
+	if s.deployment.ClaimsInTime {
+		own.Until = own.Due
+		if !own.Due.After(s.clock()) {
+			return false
+		}
+	}
 	plan := book.Designate(s.clock(), &own, table.Memory(s.clock(), query))
 	if plan.Hopeless {
 		s.result.Memory.Hopeless++
--- a/proof/forwarding/claims_test.go
+++ b/proof/forwarding/claims_test.go
@@ -34,7 +34,7 @@
 
 // BenchmarkClaims compares ways of giving memory to the largest prompts, on standard error.
 func BenchmarkClaims(b *testing.B) {
-	for _, load := range []float64{1, 1.4} {
+	for _, load := range []float64{1, 1.2, 1.4} {
 		for _, way := range []struct {
 			name   string
 			change func(*Deployment)
@@ -42,14 +42,11 @@
 			{"without", func(*Deployment) {}},
 			{"claims", func(d *Deployment) { d.Claims = true }},
 			{"wait, no order", func(d *Deployment) { d.Claims, d.WithholdNothing = true, true }},
-			{"claims, by cost", func(d *Deployment) { d.Claims, d.ClaimsByCost = true, true }},
-			{"claims, spread", func(d *Deployment) { d.Claims, d.ClaimsSpread = true, true }},
-			{"wait, spread", func(d *Deployment) { d.Claims, d.ClaimsSpread, d.WithholdNothing = true, true, true }},
-			{"wait, by cost", func(d *Deployment) { d.Claims, d.ClaimsByCost, d.WithholdNothing = true, true, true }},
+			{"claims, in time", func(d *Deployment) { d.Claims, d.ClaimsInTime = true, true }},
 		} {
 			deployment := LargePrompts(load)
 			way.change(&deployment)
-			r, m := sumMemory(deployment, 3)
+			r, m := sumMemory(deployment, 6)
 			printMemory(way.name, load, r, m)
 		}
 	}
--- a/proof/forwarding/deployment.go
+++ b/proof/forwarding/deployment.go
@@ -69,9 +69,8 @@
 	// length.
 	HintSpread float64
 	// Claims lets prompts that find no memory wait with a claim. WithholdNothing lets them wait without an order among
-	// entries, ClaimsByCost chooses groups of servers by cost alone, ClaimsSpread
-	// spreads prompts that would fit an empty server as well; these are for comparison.
-	Claims, WithholdNothing, ClaimsByCost, ClaimsSpread bool
+	// entries, ClaimsInTime only as long as they can be in time; these are for comparison.
+	Claims, WithholdNothing, ClaimsInTime bool
 }
 
 // phaseAt returns a phase that starts at a second and multiplies the usual rates of the three classes.
