--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -48,7 +48,9 @@
 // Guards against late prompts that keep memory from those that can still be in time, which lose more by waiting.
 func TestALateClaimComesAfterThoseInTime(t *testing.T) {
 	b := newBook()
-	require.True(t, b.State(start, withParts(claimOf("first"), Part{"a", 100_000})))
+	late := withParts(claimOf("first"), Part{"a", 100_000})
+	late.Until = start.Add(2 * time.Second) // ends before the other one is due
+	require.True(t, b.State(start, late))
 	now := start.Add(1100 * time.Millisecond)
 	fresh := claimOf("fresh")
 	fresh.Due = now.Add(2 * time.Second)
@@ -190,6 +192,14 @@
 	require.NotEmpty(t, b.Designate(start, &c, all).Parts)
 }
 
+// Guards against claims that wait for memory at a server which has restarted or left.
+func TestADesignationLeavesServersThatAreGone(t *testing.T) {
+	b := newBook()
+	c := withParts(claimOf("c"), Part{"gone", 150_000}, Part{"a", 150_000})
+	require.True(t, b.State(start, c))
+	require.Equal(t, []Part{{"a", 160_000}, {"b", 140_000}}, b.Designate(start, &c, servers(160_000, 150_000)).Parts)
+}
+
 // Guards against callers that wait in vain, and against a Retry-After at which there can be no memory yet.
 func TestAHopelessClaimIsRefusedAtOnce(t *testing.T) {
 	b := newBook()
--- a/entry/gateway/claims_test.go
+++ b/entry/gateway/claims_test.go
@@ -118,8 +118,8 @@
 	go call(standin.NewRequest(c.s.settings.ListenAddress, http.MethodPost, "/stream/", "gone", largePrompt, "prompt").WithContext(ctx))
 	c.eventually("the other entry knows that it waits", func() bool { return other.openClaims() == 1 })
 	cancel()
-	c.eventually("its claim has ended here", func() bool { return c.s.ownClaims() == 0 })
 	gone := time.Now()
+	c.eventually("its claim has ended here", func() bool { return c.s.ownClaims() == 0 })
 	c.eventually("and there", func() bool { return other.openClaims() == 0 })
 	require.Less(t, time.Since(gone), claimReportTTL-peering.HeartbeatInterval, "by its withdrawal")
 }
@@ -163,13 +163,13 @@
 func TestClaimsAreRepeated(t *testing.T) {
 	c := newClaimsBed(t, true)
 	other := c.startEntry(true, c.s.settings.PeerAddress)
-	c.fill()
-	c.send(c.s)
-	c.eventually("the other entry knows that it waits", func() bool { return other.openClaims() == 1 })
-	other.mu.Lock()
-	other.claims.ForgetPeer(c.s.settings.PeerAddress)
-	other.mu.Unlock()
-	c.eventually("it learns of it again", func() bool { return other.openClaims() == 1 })
+	// No load update tells of this claim.
+	c.s.mu.Lock()
+	now := time.Now()
+	stated := c.s.claims.State(now, claims.Claim{ID: "lost", Service: "engines", Tokens: 1000, Worth: 1, Since: now, Due: now, Until: now.Add(time.Minute)})
+	c.s.mu.Unlock()
+	require.True(t, stated)
+	c.eventually("the other entry learns of it", func() bool { return other.openClaims() == 1 })
 }
 
 // peerClaim is a claim that comes before those of the tests and lasts longer than they do.
--- a/proof/forwarding/claims_test.go
+++ b/proof/forwarding/claims_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"arbutusdeck/core/placement"
 )
 
@@ -33,6 +35,21 @@
 	fmt.Fprintf(os.Stderr, " | huge in time %d/%d refused %d twice %d claims %d hopeless %d\n", m.HugeInTime, m.Huge, m.Refused, m.RefusedTwice, m.Claims, m.Hopeless)
 }
 
+// Guards against long prompts that are refused twice for lack of memory while it becomes free within their time, and
+// against claims that serve them at the cost of short prompts.
+func TestPromptsThatWaitForMemoryAreServed(t *testing.T) {
+	const seeds = 2
+	deployment := LargePrompts(1)
+	without, refused := sumMemory(deployment, seeds)
+	deployment.Claims = true
+	with, waited := sumMemory(deployment, seeds)
+	require.Positive(t, refused.RefusedTwice)
+	require.Zero(t, waited.RefusedTwice)
+	require.Greater(t, waited.HugeInTime, refused.HugeInTime)
+	require.Greater(t, with.Worth(), without.Worth()+0.005)
+	require.Greater(t, float64(with.Classes[0].InTime), 0.99*float64(without.Classes[0].InTime))
+}
+
 // BenchmarkClaims compares ways of giving memory to the largest prompts, on standard error. ARBUTUS_MEMORY is the memory
 // of an engine in tokens, if not that of the deployment.
 func BenchmarkClaims(b *testing.B) {
--- a/proof/mutations/claims_mutations_test.go
+++ b/proof/mutations/claims_mutations_test.go
@@ -19,7 +19,7 @@
 	{"hopeless claims are refused", "core/claims/designate.go", "wait > left {", "false {", claimsPkg, "TestAHopelessClaim"},
 	{"a claim's value is a number", "core/claims/claim.go", "case !(r.LateWorth >= 0 && r.LateWorth <= r.Worth && r.Worth <= maxWorth):", "case r.LateWorth < 0 || r.LateWorth > r.Worth:", claimsPkg, "TestAnInvalidReport"},
 	{"an invalid claim is rejected", "core/peering/codec.go", "		if err := m.Claims[i].Check(); err != nil {", "		if err := error(nil); err != nil {", peeringPkg, "TestAnInvalidMessage"},
-	{"claims are split into packets", "core/peering/claims.go", " && claimBytes(append(slices.Clone(parts[last]), report)) <= maxClaimBytes {", " {", peeringPkg, "TestClaimsAreSplit"},
+	{"claims are split into packets", "core/peering/claims.go", "(parts[last]), report)) <= maxClaimBytes {", "(parts[last]), report)) <= 1000*maxClaimBytes {", peeringPkg, "TestClaimsAreSplit"},
 	{"long prompts get no withheld memory", "core/placement/claims.go", "		c.free -= kept.Tokens\n		return\n", "		return\n", placementPkg, "TestALongPromptGets"},
 	{"short prompts avoid withheld memory", "core/placement/claims.go", "		c.loss += kept.Loss * float64(taken)\n", "		_ = taken\n", placementPkg, "TestShortPromptsAvoid"},
 	{"short prompts are not kept off by force", "core/placement/claims.go", "	if q.PromptTokens > t.options.ShortTokens {\n		c.free", "	if true {\n		c.free", placementPkg, "TestShortPromptsAvoid"},
