A hopeless claim's Retry-After isn't shortened by jitter; a test of the refusal

Cause: jitter of a quarter brought a caller back before there could be memory. With claims switched off a refused prompt's query was built once more than before.

Change: the Retry-After is a third longer before jitter; the switch is looked at first.

--- a/entry/gateway/claims.go
+++ b/entry/gateway/claims.go
@@ -79,8 +79,11 @@
 	}
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
+	if !e.s.claimsEnabled() {
+		return choice, refusal
+	}
 	q := e.query(now, e.forward.Excluded())
-	if !e.s.claimsEnabled() || !e.s.loadTable.MayClaim(q) {
+	if !e.s.loadTable.MayClaim(q) {
 		return choice, refusal
 	}
 	if e.s.stopping.Load() != nil {
@@ -88,7 +91,8 @@
 	}
 	plan, refused := e.openClaim(now, q)
 	if refused {
-		choice.RetryAfter = max(min(plan.RetryAfter, maxMemoryRetryAfter), choice.RetryAfter)
+		// jitter shortens a Retry-After by up to a quarter; the caller must not return before there can be memory.
+		choice.RetryAfter = max(min(plan.RetryAfter, maxMemoryRetryAfter)*4/3, choice.RetryAfter)
 		return choice, refusal
 	}
 	return placement.Choice{Wait: min(claimRecheck, max(e.deadline.Sub(now), time.Millisecond))}, ""
--- a/entry/gateway/claims_test.go
+++ b/entry/gateway/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -227,3 +228,26 @@
 	c.s.peers.HandleMessage(time.Now(), m)
 	require.Zero(t, c.s.openClaims())
 }
+
+// Guards against callers that wait in vain for memory that can't be free in their time, and against a Retry-After at
+// which they would be refused again.
+func TestAPromptWhoseTurnCannotComeIsRefusedAtOnce(t *testing.T) {
+	c := newClaimsBed(t, true)
+	c.fill()
+	// Sixty seconds of work for the only server come first.
+	for _, id := range []string{"peer-1", "peer-2", "peer-3", "peer-4", "peer-5", "peer-6"} {
+		report := peerClaim()
+		report.ID, report.HoldMs = id, 10_000
+		c.s.peers.HandleMessage(time.Now(), c.message(report))
+	}
+	began := time.Now()
+	r := <-c.send(c.s)
+	require.Equal(t, 503, r.status)
+	require.Less(t, time.Since(began), time.Second)
+	require.Equal(t, execution.CodeQueueFull, problemOf(t, r).Code)
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, after, 40.0)
+	require.EqualValues(t, 1, c.s.counters.claimsHopeless.Count())
+	require.Zero(t, c.s.ownClaims())
+}
--- a/proof/mutations/claims_mutations_test.go
+++ b/proof/mutations/claims_mutations_test.go
@@ -24,6 +24,7 @@
 	{"short prompts avoid withheld memory", "core/placement/claims.go", "		c.loss += kept.Loss * float64(taken)\n", "		_ = taken\n", placementPkg, "TestShortPromptsAvoid"},
 	{"short prompts are not kept off by force", "core/placement/claims.go", "	if q.PromptTokens > t.options.ShortTokens {\n		c.free", "	if true {\n		c.free", placementPkg, "TestShortPromptsAvoid"},
 	{"ends of requests wake waiting prompts", "entry/gateway/loadupdates.go", "	s.wakeClaims()\n", "", gatewayPkg, "TestAPromptWaitsUntil"},
+	{"an entry refuses a prompt whose turn cannot come", "entry/gateway/claims.go", "	if plan.Hopeless {\n", "	if false {\n", gatewayPkg, "TestAPromptWhoseTurn"},
 	{"claims are repeated", "entry/peerlink/heartbeats.go", "		l.repeatClaims(now)\n", "", gatewayPkg, "TestClaimsAreRepeated"},
 	{"claims of other zones are ignored", "entry/gateway/claims.go", "m.Zone == s.settings.Zone && ", "", gatewayPkg, "TestClaimsOfOtherZones"},
 	{"claims of a stopping entry end", "entry/gateway/claims.go", "restarted || m.Stopping", "restarted", gatewayPkg, "TestARestartedOrStopping"},
