--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
 )
@@ -38,6 +39,8 @@
 	// TieBreak is a random number from 0 to 1 that breaks ties between equal servers, so that entries that
 	// don't know of each other's choices don't all choose the same server.
 	TieBreak float64
+	// Withheld is the memory that is kept for the claims of others, by the servers' incarnations.
+	Withheld map[string]claims.Withheld
 }
 
 // Pause excludes a server until a time, or a later one that is known.
@@ -269,6 +272,7 @@
 	if c.batch.Answers > 0 {
 		c.passMs = q.Engine.PassMs(c.batch) * s.health.slowdown()
 	}
+	t.withhold(c, q)
 }
 
 // answering returns the predicted time in which the server writes the answer, along with the answers that it
--- a/entry/gateway/crosszone.go
+++ b/entry/gateway/crosszone.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusdeck/core/claims"
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
@@ -24,6 +25,7 @@
 func (e *exchange) place(ctx context.Context, now time.Time) (placement.Choice, placement.Refusal) {
 	choice, refusal := e.choose(now)
 	if remote, ok := e.placeElsewhere(ctx, now, choice, refusal); ok {
+		e.endClaim("placed in another zone")
 		return remote, ""
 	}
 	switch refusal {
@@ -31,9 +33,9 @@
 		return e.awaitSlot(ctx, choice)
 	case placement.NoServer, placement.Paused:
 		// No other zone can be asked, and a server of unknown load is better than none.
-		return e.chooseAnywhere(now)
+		choice, refusal = e.chooseAnywhere(now)
 	}
-	return choice, refusal
+	return e.orClaim(now, choice, refusal)
 }
 
 // placeElsewhere places the request in another zone if its own has no good placement for it.
@@ -188,7 +190,7 @@
 		if s.othersWait(now, service) {
 			return reply // they would be overtaken
 		}
-		choice, refusal := s.loadTable.Choose(now, s.restrict(now, service, query))
+		choice, refusal := s.loadTable.Choose(now, s.withholdClaims(now, service.Name, claims.Claim{}, s.restrict(now, service, query)))
 		if !s.admitsForPeer(now, service, choice, refusal) {
 			return reply
 		}
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -72,6 +72,8 @@
 	phase       atomicPhase
 	// turn is the request's place in the queue for a slot; zero if it has not waited.
 	turn turn
+	// claim is what the request waits for while it waits for memory.
+	claim memoryClaim
 }
 
 // serveRequest processes one request until its final response.
--- a/entry/gateway/loadupdates.go
+++ b/entry/gateway/loadupdates.go
@@ -29,6 +29,7 @@
 func (s *Server) trackEnd(ref peerlink.DispatchRef) {
 	s.mu.Lock()
 	s.loadTable.End(time.Now(), ref.ID)
+	s.wakeClaims()
 	s.mu.Unlock()
 	s.peers.SendEnd(ref)
 }
@@ -60,4 +61,5 @@
 		s.loadTable.End(now, id)
 	}
 	s.observeQueues(now, m, restarted)
+	s.learnClaims(now, m, restarted)
 }
--- a/entry/gateway/shutdown.go
+++ b/entry/gateway/shutdown.go
@@ -16,6 +16,9 @@
 	s.stopping.Store(&now)
 	s.stopQueues(now)
 	s.manager.Join()
+	s.mu.Lock()
+	s.wakeClaims()
+	s.mu.Unlock()
 	time.AfterFunc(shutdownLinger, func() {
 		s.log.WithFields(logrus.Fields{"open": s.manager.Open() - 1}).Info("no new requests are taken")
 		s.connections.closeIdle(time.Now(), 0)
--- a/proof/forwarding/deployment.go
+++ b/proof/forwarding/deployment.go
@@ -68,6 +68,9 @@
 	// HintSpread is the standard deviation of the logarithm of the callers' estimates of the output
 	// length.
 	HintSpread float64
+	// Claims lets prompts that find no memory wait with a claim. WithholdNothing lets them wait without an order among
+	// entries, ClaimsInTime only as long as they can be in time; these are for comparison.
+	Claims, WithholdNothing, ClaimsInTime bool
 }
 
 // phaseAt returns a phase that starts at a second and multiplies the usual rates of the three classes.
