core/placement: predict first events from what servers have shown

Cause: predictions came from the published speeds and one moving average for each server, which is compared with a prediction that contains it and so converges to the root of the real ratio, and never falls below 1.

Change: with Options.LearnedTimes, Choice.Predicted is the learned median and Choice.P90 the 90th percentile. A dispatch is modelled at its begin, also a peer's. overloaded asks for the 90th percentile. The mutation row of overloaded quotes the changed text and checks as much. Variants of the tuning benchmarks may set boolean options.

--- a/core/placement/admit.go
+++ b/core/placement/admit.go
@@ -8,10 +8,10 @@
 // overloaded reports whether a short prompt is refused because waiting for a slot would make it late. In a
 // burst that exceeds the slots, the requests that fit are then served in time. Queued at the engines, each
 // late answer would take its slot from a new request, and all of them would be late for as long as callers
-// retry.
+// retry. Where the 90th percentile is learned, it counts: a request that is likely to be late is refused at once.
 func (t *LoadTable) overloaded(best Choice, q Query) bool {
 	limit := time.Duration(t.options.ShedShare * float64(q.Target))
-	return q.PromptTokens <= t.options.ShortTokens && best.slotsTaken && best.Predicted > limit && q.Target > minTarget
+	return q.PromptTokens <= t.options.ShortTokens && best.slotsTaken && max(best.Predicted, best.P90) > limit && q.Target > minTarget
 }
 
 // answerTimeFactor is the factor by which an answer may take longer than predicted: callers' estimates of its
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -7,6 +7,7 @@
 
 	"arbutusdeck/core/directory"
 	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/servertimes"
 )
 
 // Query describes a request that needs a server.
@@ -34,6 +35,8 @@
 	// TieBreak is a random number from 0 to 1 that breaks ties between equal servers, so that entries that
 	// don't know of each other's choices don't all choose the same server.
 	TieBreak float64
+	// parts is the number of servers that prefill the prompt in the choice that is evaluated.
+	parts int
 }
 
 // Pause excludes a server until a time, or a later one that is known.
@@ -54,6 +57,8 @@
 	Reserved []int64
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
+	// P90 is the predicted 90th percentile of it; 0 where Options.LearnedTimes is off.
+	P90 time.Duration
 	// AnswerTime is the predicted time from the first event to the last one.
 	AnswerTime time.Duration
 	// Loss is the expected loss of the request and of others, for the log.
@@ -114,7 +119,13 @@
 	passMs    float64
 	requests  int
 	free      int64
-	loss      float64 // expected failures, other zone, stale load
+	// slowdown is the factor by which the server is slower than its model.
+	slowdown float64
+	// times is the learned ratio of the real to the modelled time, stallMs the part of backlogMs that no
+	// request accounts for; unused where Options.LearnedTimes is off.
+	times   servertimes.Estimate
+	stallMs float64
+	loss    float64 // expected failures, other zone, stale load
 }
 
 // minTarget replaces the target of a request whose first event is already due: losses are relative to the
@@ -239,7 +250,8 @@
 func (t *LoadTable) assess(now time.Time, q Query, listed directory.Server, c *candidate) {
 	s := t.server(listed.IncarnationID(), q.Engine)
 	s.advance(now)
-	*c = candidate{Server: listed, state: s, requests: s.requests()}
+	t.identify(s, listed)
+	*c = candidate{Server: listed, state: s, requests: s.requests(), slowdown: s.slowdown(now)}
 	c.loss = s.health.currentFailureRate(now) * failureLoss * t.value(q.PromptTokens)
 	if listed.Zone != t.options.Zone {
 		c.loss += t.options.ZoneLoss
@@ -253,8 +265,9 @@
 	c.backlogMs, c.batch = s.waitingMs(now), s.batch()
 	c.free = int64(t.options.MemoryShare*float64(q.Engine.MemoryTokens)) - s.memoryUsed()
 	if c.batch.Answers > 0 {
-		c.passMs = q.Engine.PassMs(c.batch) * s.health.slowdown()
+		c.passMs = q.Engine.PassMs(c.batch) * c.slowdown
 	}
+	t.learn(now, c, q.PromptTokens)
 }
 
 // answering returns the predicted time in which the server writes the answer, along with the answers that it
@@ -263,7 +276,7 @@
 	batch := c.batch
 	batch.Answers++
 	batch.ContextTokens += q.PromptTokens / int64(parts)
-	return enginemodel.MillisToDuration(q.Engine.AnswerMs(q.AnswerTokens, batch) * c.state.health.slowdown())
+	return enginemodel.MillisToDuration(q.Engine.AnswerMs(q.AnswerTokens, batch) * c.slowdown)
 }
 
 func (c *candidate) load(now time.Time) ServerLoad {
--- a/core/placement/dispatch.go
+++ b/core/placement/dispatch.go
@@ -61,6 +61,14 @@
 // parts returns the number of servers that prefill the prompt.
 func (d *Dispatch) parts() int { return len(d.Helpers) + 1 }
 
+// serverAt returns the server of a part: 0 is Server, then the helpers.
+func (d *Dispatch) serverAt(index int) string {
+	if index == 0 {
+		return d.Server
+	}
+	return d.Helpers[index-1]
+}
+
 // memoryAt returns the memory that the dispatch takes on its server (index 0) or a helper, in tokens.
 func (d *Dispatch) memoryAt(index int) int64 {
 	if len(d.Reserved) == 0 {
--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/servertimes"
 )
 
 // workItem is the part of one dispatch that runs at one server.
@@ -43,6 +44,12 @@
 	// lastAnsweredStart is the start time of the newest request that has its first event.
 	lastAnsweredStart time.Time
 	health            serverHealth
+	// times is what the server has shown, service and startedAt what the directory says of it; unused where
+	// Options.LearnedTimes is off.
+	times     servertimes.Server
+	pooled    *servertimes.Service
+	service   string
+	startedAt time.Time
 }
 
 type activeDispatch struct {
@@ -53,6 +60,7 @@
 	began   time.Time
 	// predicted is the predicted time to the first event.
 	predicted time.Duration
+	modelled  modelled
 	// answering is set once the first event has come.
 	answering bool
 }
@@ -67,11 +75,12 @@
 	// lifetime is over.
 	ended   map[string]time.Time
 	packing packing
+	learned *learnedTimes
 }
 
 // NewLoadTable returns an empty load table.
 func NewLoadTable(options Options) *LoadTable {
-	return &LoadTable{options: options, packing: packing{options.PackShare}, servers: map[string]*server{}, active: map[string]*activeDispatch{}, ended: map[string]time.Time{}}
+	return &LoadTable{options: options, packing: packing{options.PackShare}, learned: newLearnedTimes(options), servers: map[string]*server{}, active: map[string]*activeDispatch{}, ended: map[string]time.Time{}}
 }
 
 func (t *LoadTable) server(id string, engine *enginemodel.Engine) *server {
@@ -93,6 +102,7 @@
 			delete(t.servers, id)
 		}
 	}
+	t.retainServices()
 }
 
 // Begin records a dispatch of this entry; engine is nil for a plain service.
@@ -111,6 +121,7 @@
 		return
 	}
 	a.began, a.expires = now, now.Add(d.Lifetime)
+	a.modelled = t.model(now, d, engine)
 	t.active[d.ID] = a
 	for index, id := range append([]string{d.Server}, d.Helpers...) {
 		s := t.server(id, engine)
@@ -118,7 +129,7 @@
 		s.updatedAt = now
 		w := &workItem{dispatch: &a.dispatch, index: index, memory: a.dispatch.memoryAt(index), began: now}
 		if engine != nil && d.PromptTokens > 0 {
-			w.prefillMs = engine.PrefillMs(d.PromptTokens, d.parts()) * s.health.slowdown()
+			w.prefillMs = engine.PrefillMs(d.PromptTokens, d.parts()) * s.slowdown(now)
 		}
 		s.workItems = append(s.workItems, w)
 		if engine != nil && index == 0 {
@@ -157,6 +168,10 @@
 	if a.began.After(s.lastAnsweredStart) {
 		s.lastAnsweredStart = a.began
 	}
+	if t.learned != nil {
+		t.observeTimes(now, s, a)
+		return
+	}
 	if a.predicted > 0 {
 		s.observeLatency(now.Sub(a.began), a.predicted)
 	}
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -112,16 +112,27 @@
 // comes. The backlog counts for a divided prompt too, although engines prefill its part first: parts that
 // arrive later delay it in the same way.
 func (t *LoadTable) firstEventMs(c *candidate, q Query, prefillMs float64) float64 {
-	prefillMs *= c.state.health.slowdown()
+	if t.learned != nil {
+		ratio := c.times.Median
+		if q.parts > 1 {
+			ratio = c.slowdown
+		}
+		return c.learnedMs(c.modelMs(q, prefillMs), ratio)
+	}
 	wait := c.backlogMs
+	return c.eventMs(q, wait, c.passMs, prefillMs*c.slowdown)
+}
+
+// eventMs returns the time until the next event after a wait and a prefill.
+func (c *candidate) eventMs(q Query, wait, passMs, prefillMs float64) float64 {
 	if over := c.requests - q.Engine.Slots + 1; over > 0 {
 		// A slot is free when the shortest of the running answers is complete, on average after half of the
 		// passes of an answer of usual length.
 		passes := float64(q.Engine.UsualAnswer) / float64(q.Engine.Stride) / 2
-		wait += float64(over) / float64(q.Engine.Slots) * passes * c.passMs
+		wait += float64(over) / float64(q.Engine.Slots) * passes * passMs
 	}
 	if c.batch.Answers > 0 {
-		return wait + c.passMs/2 + c.passMs + prefillMs
+		return wait + passMs/2 + passMs + prefillMs
 	}
 	return wait + prefillMs + q.Engine.StepOverheadMs(q.PromptTokens, 1)
 }
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -59,6 +59,9 @@
 	// UnheardLoss is the share of a request's value that is expected to be lost at a server that a suspect
 	// peer may use.
 	UnheardLoss float64
+	// LearnedTimes predicts first events from what each server has shown, in place of the moving average of a
+	// server's ratio. The zero value keeps today's predictions.
+	LearnedTimes bool
 	// NetworkTime is the time for opening a connection plus one round trip.
 	NetworkTime time.Duration
 }
--- a/core/placement/parts.go
+++ b/core/placement/parts.go
@@ -11,6 +11,7 @@
 
 // chooseParts selects the best servers for a prompt that is divided into a number of parts.
 func (t *LoadTable) chooseParts(now time.Time, candidates []*candidate, q Query, parts int) (Choice, bool) {
+	q.parts = parts
 	prefillMs := q.Engine.PrefillMs(q.PromptTokens, parts)
 	ranked := t.rank(now, candidates, q, prefillMs, parts > 1)
 	first := t.pickFirst(ranked, q, parts)
@@ -28,14 +29,21 @@
 	}
 	choice := Choice{Server: chosen[0].Server, Load: chosen[0].load(now), Unreachable: chosen[0].state.health.inBackoff(now), Reserved: reserved,
 		othersLoss: group.others, slotsTaken: chosen[0].requests >= q.Engine.Slots}
-	slowest := 0.0
+	slowest, p90 := 0.0, 0.0
 	for _, c := range chosen {
 		slowest = max(slowest, t.firstEventMs(c, q, prefillMs))
+		p90 = max(p90, t.p90Ms(c, q, prefillMs))
+	}
+	if t.learned != nil && parts > 1 {
+		p90 = max(slowest, slowest*t.dividedP90(now, chosen[0].Service))
 	}
 	for _, c := range chosen[1:] {
 		choice.Helpers = append(choice.Helpers, c.Server)
 	}
 	choice.Predicted = enginemodel.MillisToDuration(slowest) + t.options.NetworkTime
+	if t.learned != nil {
+		choice.P90 = enginemodel.MillisToDuration(p90) + t.options.NetworkTime
+	}
 	choice.AnswerTime = chosen[0].answering(q, parts)
 	if reserved != nil && q.ReservationTimeout > 0 && choice.Predicted > q.ReservationTimeout {
 		return Choice{}, false
@@ -118,7 +126,7 @@
 func (t *LoadTable) rank(now time.Time, candidates []*candidate, q Query, prefillMs float64, split bool) []ranked {
 	all := make([]ranked, 0, len(candidates))
 	for i, c := range candidates {
-		slowed := prefillMs * c.state.health.slowdown()
+		slowed := prefillMs * c.slowdown
 		helper := c.loss + t.gapLoss(c, slowed, split)
 		var delays []delayLoss
 		if split {
--- a/core/placement/stall.go
+++ b/core/placement/stall.go
@@ -47,7 +47,7 @@
 	}
 	expected := stallGrace
 	if batch := s.batch(); batch.Answers > 0 {
-		expected += enginemodel.MillisToDuration(2 * s.engine.PassMs(batch) * s.health.slowdown())
+		expected += enginemodel.MillisToDuration(2 * s.engine.PassMs(batch) * s.slowdown(now))
 	}
 	return max(overdue-expected, 0) * (stallFactor - 1)
 }
--- a/proof/forwarding/tuning_test.go
+++ b/proof/forwarding/tuning_test.go
@@ -172,11 +172,14 @@
 		if err != nil {
 			return fmt.Errorf("parse option %s: %w", setting, err)
 		}
-		if field.CanFloat() {
+		switch field.Kind() {
+		case reflect.Bool:
+			field.SetBool(value != 0)
+		case reflect.Float64:
 			field.SetFloat(value)
-			continue
+		default:
+			field.SetInt(int64(value))
 		}
-		field.SetInt(int64(value))
 	}
 	return nil
 }
--- a/proof/mutations/forwarding_mutations_test.go
+++ b/proof/mutations/forwarding_mutations_test.go
@@ -103,7 +103,7 @@
 	{"short responses are packed", "core/placement/loss.go", "	return firstAnswer + gain*float64(others-similar)", "	return 0", placementPkg, "TestShortAnswersArePacked"},
 	{"the backlog counts", "core/placement/loss.go", "	wait := c.backlogMs\n", "	wait := 0.0\n", placementPkg, "TestAShortPromptAvoids"},
 	{"late prompts are delayed", "core/placement/admit.go", "	if best.othersLoss+best.crowding > share*t.value(q.PromptTokens) {", "	if best.othersLoss < -share {", placementPkg, "TestALatePrompt"},
-	{"no short prompt queues beyond the slots", "core/placement/admit.go", "best.slotsTaken && best.Predicted > limit", "limit < 0", placementPkg, "TestAShortPromptBeyond"},
+	{"no short prompt queues beyond the slots", "core/placement/admit.go", "best.slotsTaken && max(best.Predicted, best.P90) > limit", "limit < 0", placementPkg, "TestAShortPromptBeyond"},
 	{"a request that can't meet its deadline is refused", "core/placement/choose.go", "	if refusal == \"\" && best.Predicted > q.Remaining {", "	if false {", placementPkg, "TestWhatCanNot"},
 	{"the backoff of a flapping server grows", "core/placement/health.go", "	h.misses++\n", "", placementPkg, "TestBackoffOfAFlapping"},
 	{"failures lower the preference for a server", "core/placement/health.go", "	h.failureRate, h.updatedAt = share+(1-share)*failureWeight, now", "	h.failureRate, h.updatedAt = share, now", placementPkg, "TestFailuresOutweigh"},
