entry/gateway: overload.learnedTimes, its gauges and log field

Cause: the setting had no effect, and what is learned could not be seen.

Ruled out: gauges registered once; services come and go with the configuration.

Change: the setting switches Options.LearnedTimes on at the start. Gauges learned.SERVICE.LEVEL.median and .p90, in thousandths; predictedP90Ms in the line of a choice where it is on.

Conclusion: off, there are no new gauges or log fields.

--- a/entry/gateway/responses.go
+++ b/entry/gateway/responses.go
@@ -143,11 +143,15 @@
 
 // logChoice logs the chosen server with the figures behind the choice.
 func (e *exchange) logChoice(choice placement.Choice) {
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "route": e.route.Name, "service": e.service.Name, "server": choice.Server.IncarnationID(),
+	fields := logrus.Fields{"request": e.info.ID, "route": e.route.Name, "service": e.service.Name, "server": choice.Server.IncarnationID(),
 		"serverRevision": choice.Server.Revision, "helpers": directory.IncarnationIDs(choice.Helpers), "held": choice.Reserved, "tokens": e.info.PromptTokens,
 		"predictedMs": choice.Predicted.Milliseconds(), "loss": math.Round(choice.Loss*100) / 100, "sentBefore": e.forward.Sent(),
 		"serverBacklogMs": math.Round(choice.Load.BacklogMs), "serverRequests": choice.Load.Requests, "serverNewsMs": choice.Load.Age.Milliseconds(),
-		"waitedMs": time.Since(e.arrived).Milliseconds(), "configuration": e.table.Version(), "lastEvent": e.lastEventID}).Info("server chosen")
+		"waitedMs": time.Since(e.arrived).Milliseconds(), "configuration": e.table.Version(), "lastEvent": e.lastEventID}
+	if choice.P90 > 0 {
+		fields["predictedP90Ms"] = choice.P90.Milliseconds()
+	}
+	e.s.log.WithFields(fields).Info("server chosen")
 }
 
 // logAttempt logs the result of an attempt. If the server broke the connection, the line has the
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -109,6 +109,8 @@
 	separator     *quarantine.Separator
 	random        *rand.Rand
 	pauseDetector *membership.PauseDetector
+	// learnedGauges are the names of the registered gauges of learned ratios; only the housekeeping loop uses it.
+	learnedGauges map[string]bool
 }
 
 // incarnationLength is the length of an incarnation in hexadecimal digits. It is part of every peer
@@ -121,7 +123,7 @@
 	settings := options.Settings
 	s := &Server{
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
-		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(placement.DefaultOptions(settings.Zone)),
+		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(settings.placementOptions()),
 		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), pauses: retryafter.NewPauses(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
 		budgets: map[string]*execution.RetryBudget{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
@@ -302,6 +304,7 @@
 		s.reportServerChanges(changes, "platform")
 		s.updateQuarantine(now)
 		s.logEmptiedZones()
+		s.updateLearnedRatios(now)
 		s.updateRouting()
 		s.serveWhenReady()
 		s.connections.closeIdle(now, s.idleTimeout())
