core/servertimes: tell the first 300 ms after a start apart

An observation of an earlier age also faded the samples of a server twice at each bound.

Change: one more bound of ages, and samples fade only when a greater age is reached.

--- a/core/servertimes/servertimes.go
+++ b/core/servertimes/servertimes.go
@@ -89,14 +89,16 @@
 // Situation describes a server when a request is sent to it.
 type Situation struct {
 	Level Level
-	// Age is the time since the server's start, negative if it is unknown; it then counts as warm.
+	// Age is the time since the server's start; if it is negative, the start is unknown and the server counts as
+	// warm.
 	Age time.Duration
 }
 
 // ageBounds are the upper bounds of the ages that are told apart. A slow start lasts for seconds, and the
-// server gets faster within it; a server older than the last bound is warm.
-var ageBounds = [...]time.Duration{1 * time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second,
-	8 * time.Second, 11 * time.Second, 16 * time.Second}
+// server gets faster within it. Its first prompts are prefilled alone, the next wait for them. A server older
+// than the last bound is warm.
+var ageBounds = [...]time.Duration{300 * time.Millisecond, 1 * time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second,
+	6 * time.Second, 8 * time.Second, 11 * time.Second, 16 * time.Second}
 
 // warm is the index of the servers beyond all bounds.
 const warm = len(ageBounds)
@@ -127,8 +129,8 @@
 	// samples is off by a fifth of the spread; the median of 16 follows a change of speed after eight requests.
 	maxPooled, maxServer = 64, 16
 	// priorPooled, priorServer and priorSpread are the weights, in samples, of the priors of a pooled median, of
-	// a server's median and of a spread: the 90th percentile takes more samples than the median. Servers differ by about as much as the requests of
-	// one of them.
+	// a server's median and of a spread: the 90th percentile takes more samples than the median. Servers differ
+	// by about as much as the requests of one of them.
 	priorPooled, priorServer, priorSpread = 0.5, 1.5, 5
 	// minSpreadFactor and maxSpreadFactor bound the spread of a server or an age relative to that of the
 	// others. Few samples, as of a server, hardly show a smaller one.
@@ -166,7 +168,8 @@
 	residuals samples
 	// scaled holds the distances from the predicted median relative to the spread of the level.
 	scaled samples
-	age    int
+	// age is the index of the greatest age that was observed.
+	age int
 }
 
 // Observation is a request that has its first event.
@@ -197,7 +200,7 @@
 		return
 	}
 	age := ageIndex(o.Age)
-	if age != s.age {
+	if age > s.age {
 		s.residuals.fade(ageFade)
 		s.age = age
 	}
@@ -259,7 +262,7 @@
 
 // effectAt returns the effect of the server at an age that it may have reached since its latest sample.
 func (s *Server) effectAt(now time.Time, age int) float64 {
-	if age != s.age {
+	if age > s.age {
 		return s.effect(now) * ageFade
 	}
 	return s.effect(now)
