--- a/core/placement/loadtable.go
+++ b/core/placement/loadtable.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusdeck/core/enginemodel"
+	"arbutusdeck/core/servertimes"
 )
 
 // workItem is the part of one dispatch that runs at one server.
@@ -45,6 +46,12 @@
 	health            serverHealth
 	// holdTime is the smoothed time for which requests held a slot here; 0 before the first one ended.
 	holdTime time.Duration
+	// times is what the server has shown, service and startedAt what the directory says of it; unused where
+	// Options.LearnedTimes is off.
+	times     servertimes.Server
+	pooled    *servertimes.Service
+	service   string
+	startedAt time.Time
 }
 
 type activeDispatch struct {
@@ -55,6 +62,7 @@
 	began   time.Time
 	// predicted is the predicted time to the first event.
 	predicted time.Duration
+	modelled  modelled
 	// answering is set once the first event has come.
 	answering bool
 	// answeringSince is the time at which it came.
@@ -78,11 +86,12 @@
 	packing packing
 	// observeUsage is told what dispatches use; nil if nobody is.
 	observeUsage func(now time.Time, u Usage)
+	learned      *learnedTimes
 }
 
 // NewLoadTable returns an empty load table.
 func NewLoadTable(options Options) *LoadTable {
-	return &LoadTable{options: options, packing: packing{options.PackShare}, servers: map[string]*server{}, active: map[string]*activeDispatch{}, ended: map[string]time.Time{}}
+	return &LoadTable{options: options, packing: packing{options.PackShare}, learned: newLearnedTimes(options), servers: map[string]*server{}, active: map[string]*activeDispatch{}, ended: map[string]time.Time{}}
 }
 
 func (t *LoadTable) server(id string, engine *enginemodel.Engine) *server {
@@ -104,6 +113,7 @@
 			delete(t.servers, id)
 		}
 	}
+	t.retainServices()
 }
 
 // Begin records a dispatch of this entry; engine is nil for a plain service.
@@ -122,6 +132,7 @@
 		return
 	}
 	a.began, a.reported, a.expires = now, now, now.Add(d.Lifetime)
+	a.modelled = t.model(now, d, engine)
 	t.active[d.ID] = a
 	for index, id := range append([]string{d.Server}, d.Helpers...) {
 		s := t.server(id, engine)
@@ -129,7 +140,7 @@
 		s.updatedAt = now
 		w := &workItem{dispatch: &a.dispatch, index: index, memory: a.dispatch.memoryAt(index), began: now}
 		if engine != nil && d.PromptTokens > 0 {
-			w.prefillMs = engine.PrefillMs(d.PromptTokens, d.parts()) * s.health.slowdown()
+			w.prefillMs = engine.PrefillMs(d.PromptTokens, d.parts()) * s.slowdown(now)
 		}
 		a.prefillMs += w.prefillMs
 		s.workItems = append(s.workItems, w)
@@ -175,6 +186,10 @@
 	if a.began.After(s.lastAnsweredStart) {
 		s.lastAnsweredStart = a.began
 	}
+	if t.learned != nil {
+		t.observeTimes(now, s, a)
+		return
+	}
 	if a.predicted > 0 {
 		s.observeLatency(now.Sub(a.began), a.predicted)
 	}
--- a/core/placement/loss.go
+++ b/core/placement/loss.go
@@ -112,16 +112,29 @@
 // comes. The backlog counts for a divided prompt too, although engines prefill its part first: parts that
 // arrive later delay it in the same way.
 func (t *LoadTable) firstEventMs(c *candidate, q Query, prefillMs float64) float64 {
-	prefillMs *= c.state.health.slowdown()
-	wait := c.backlogMs + slotWaitMs(c, q)
+	if t.learned != nil {
+		ratio := c.times.Median
+		if q.parts > 1 {
+			ratio = c.slowdown
+		}
+		return c.learnedMs(c.modelMs(q, prefillMs), ratio)
+	}
+	wait := c.backlogMs
+	return c.eventMs(q, wait, c.passMs, prefillMs*c.slowdown)
+}
+
+// eventMs returns the time until the next event after a wait and a prefill.
+func (c *candidate) eventMs(q Query, wait, passMs, prefillMs float64) float64 {
+	wait += slotWaitMs(c, q, passMs)
 	if c.batch.Answers > 0 {
-		return wait + c.passMs/2 + c.passMs + prefillMs
+		return wait + passMs/2 + passMs + prefillMs
 	}
 	return wait + prefillMs + q.Engine.StepOverheadMs(q.PromptTokens, 1)
 }
 
-// slotWaitMs predicts the time, in milliseconds, until a server has a slot for one more request.
-func slotWaitMs(c *candidate, q Query) float64 {
+// slotWaitMs predicts the time, in milliseconds, until a server whose passes take passMs has a slot for one more
+// request.
+func slotWaitMs(c *candidate, q Query, passMs float64) float64 {
 	over := c.requests - q.Engine.Slots + 1
 	if over <= 0 {
 		return 0
@@ -129,7 +142,7 @@
 	// A slot is free when the shortest of the running answers is complete, on average after half of the
 	// passes of an answer of usual length.
 	passes := float64(q.Engine.UsualAnswer) / float64(q.Engine.Stride) / 2
-	return float64(over) / float64(q.Engine.Slots) * passes * c.passMs
+	return float64(over) / float64(q.Engine.Slots) * passes * passMs
 }
 
 // lateLoss returns the expected loss of a request by the predicted time to its first event, with a slope
