--- a/entry/gateway/waiting_test.go
+++ b/entry/gateway/waiting_test.go
@@ -287,7 +287,7 @@
 	w := newTestbed(t)
 	s, _ := w.fullEntry(queueing)
 	request := standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/stream/", "late", 2000, "x")
-	request.Header.Set("Time-Remaining-Ms", "700")
+	request = standin.SetRemaining(request, 700*time.Millisecond)
 	since := time.Now()
 	r := call(request)
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
