--- a/core/peering/readers_test.go
+++ b/core/peering/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,12 +201,13 @@
 type fault int
 
 const (
-	healthy   fault = iota
-	storeless       // its connection to the store is unresponsive
-	killed          // it neither sends nor reads
-	mute            // nothing that it sends arrives
-	deaf            // nothing arrives at it
-	frozen          // it is suspended for two seconds
+	healthy      fault = iota
+	storeless          // its connection to the store is unresponsive
+	killed             // it neither sends nor reads
+	mute               // nothing that it sends arrives
+	deaf               // nothing arrives at it
+	frozen             // it is suspended for two seconds
+	undelivering       // its messages arrive, but nobody gets its view
 	faultKinds
 )
 
@@ -260,12 +262,24 @@
 	reading     []bool
 	failedAt    []time.Duration
 	succeededAt []time.Duration
+	fetches     [][]simulatedFetch // those under way, by entry
 }
 
+// simulatedFetch is the fetch of a peer's view.
+type simulatedFetch struct {
+	peer    int
+	endsAt  time.Duration
+	succeed bool
+}
+
+// fetchTimeout is the time after which a view that does not arrive is given up.
+const fetchTimeout = 1500 * time.Millisecond
+
 func newSimulatedZone(faults []fault, phase time.Duration) *simulatedZone {
 	count := len(faults)
 	return &simulatedZone{groups: zoneGroups(count, sameCapacity), struck: faults, faultsAt: 2*time.Second + phase, knownUpTo: make([]time.Duration, count),
-		callAt: make([]time.Duration, count), calling: make([]bool, count), reading: make([]bool, count), failedAt: make([]time.Duration, count), succeededAt: make([]time.Duration, count)}
+		callAt: make([]time.Duration, count), calling: make([]bool, count), reading: make([]bool, count), failedAt: make([]time.Duration, count), succeededAt: make([]time.Duration, count),
+		fetches: make([][]simulatedFetch, count)}
 }
 
 func (z *simulatedZone) hasFault(i int, f fault) bool {
@@ -310,23 +324,50 @@
 	case z.now-z.callAt[i] >= callTimeout():
 		z.failedAt[i], z.calling[i] = z.now, false
 	}
+	z.catchUp(i)
 	if z.now%HeartbeatInterval == 0 {
-		m := heartbeatFrom(entryAt(i), "here")
-		m.Capacity = sameCapacity(i)
-		m.SetStoreState(z.state(i))
-		z.send(i, func(j int) { z.groups[j].Observe(z.clock(), m) })
+		z.publish(i)
 	}
 }
 
+// catchUp completes fetches of views, and begins one if a peer has a later version.
+func (z *simulatedZone) catchUp(i int) {
+	z.fetches[i] = slices.DeleteFunc(z.fetches[i], func(f simulatedFetch) bool {
+		if z.now >= f.endsAt && f.succeed {
+			z.knownUpTo[i] = max(z.knownUpTo[i], z.knownUpTo[f.peer])
+		}
+		return z.now >= f.endsAt
+	})
+	if len(z.fetches[i]) > 0 {
+		return
+	}
+	address, ok := z.groups[i].NewerPeer(z.clock(), z.version(i), 0, false)
+	if !ok {
+		return
+	}
+	peer := slices.IndexFunc(z.groups, func(g *Group) bool { return g.self == address })
+	f := simulatedFetch{peer: peer, endsAt: z.now + tick, succeed: true}
+	if z.isStopped(peer) || z.hasFault(peer, undelivering) || z.hasFault(peer, mute) || z.hasFault(peer, deaf) || z.hasFault(i, mute) || z.hasFault(i, deaf) {
+		f = simulatedFetch{peer: peer, endsAt: z.now + fetchTimeout}
+	}
+	z.fetches[i] = append(z.fetches[i], f)
+}
+
+// version returns the configuration version of an entry; there is a new one in each millisecond.
+func (z *simulatedZone) version(i int) uint64 { return uint64(z.knownUpTo[i].Milliseconds()) }
+
 func (z *simulatedZone) clock() time.Time { return start.Add(z.now) }
 
 func (z *simulatedZone) state(i int) StoreState {
 	return StoreState{Reads: z.reading[i] && z.succeededAt[i] > 0, Lost: z.failedAt[i] > 0 && z.now-z.failedAt[i] < 3*time.Second, Age: z.now - z.succeededAt[i]}
 }
 
-// publish passes a reader's changes on; an entry that is behind fetches them.
+// publish sends the entry's version and its access to the store; entries that are behind fetch the version.
 func (z *simulatedZone) publish(i int) {
-	z.send(i, func(j int) { z.knownUpTo[j] = max(z.knownUpTo[j], z.knownUpTo[i]) })
+	m := heartbeatFrom(entryAt(i), "here")
+	m.Capacity, m.Version = sameCapacity(i), z.version(i)
+	m.SetStoreState(z.state(i))
+	z.send(i, func(j int) { z.groups[j].Observe(z.clock(), m) })
 }
 
 func (z *simulatedZone) send(i int, arrives func(j int)) {
--- a/entry/gateway/bootstrap_test.go
+++ b/entry/gateway/bootstrap_test.go
@@ -20,7 +20,7 @@
 	w := newTestbed(t)
 	w.configure(nil)
 	w.worker("i-1", "plain", nil)
-	settings := w.newSettings(newSilentPeer(t))
+	settings := w.newSettings(newSilentPeer(t, 0, func() uint64 { return 1 }))
 	settings.ApplyLimit, settings.DrainLimit = config.Duration(4*time.Second), config.Duration(4*time.Second)
 	began := time.Now()
 	s := w.start(settings)
@@ -28,9 +28,9 @@
 	require.Greater(t, time.Since(began), peerlink.FetchTimeout/2, "it has asked the peer first")
 }
 
-// newSilentPeer starts an entry of the zone that claims to read the store, accepts connections and
-// never responds. It returns its address.
-func newSilentPeer(t *testing.T) string {
+// newSilentPeer starts an entry of the zone that claims to read the store and to hold a version,
+// accepts connections and never responds. It returns its address.
+func newSilentPeer(t *testing.T, capacity int, version func() uint64) string {
 	listener, err := net.Listen("tcp", loopbackHost()+":7803")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -45,7 +45,7 @@
 			if err != nil {
 				return
 			}
-			m := peering.Message{From: address, Incarnation: "silent", Zone: "here", Version: 1, Revision: 1}
+			m := peering.Message{From: address, Incarnation: "silent", Zone: "here", Capacity: capacity, Version: version(), Revision: 1}
 			m.SetStoreState(peering.StoreState{Reads: true})
 			data, err := peering.Encode(m)
 			if err != nil {
