Watch from the revision at which the configuration was read, not from a peer's position

What callers saw: answers by an older version, possibly until the next one. Cause: a reader reads the operators' rows and watches from the position of its list of servers. While it has no answer of the store yet, or has lost the store, it also takes over views of peers, and a view that arrives after the read moves the position past a configuration that neither the peer nor this entry has (peers get servers in datagrams and fetch the configuration 60 ms later). The watch then starts behind that version, and the reader answers for fresh state. Class: one position that stands for the completeness of two things. Evidence: TestAWatchBeginsWhereTheConfigurationWasRead began at 40 where the configuration had been read at 30; it begins at 30 now, at 20 if the list is older.

The watch is a cursor of its own, from the lower of both revisions; rows that come twice are told by their revision.

--- a/entry/storeread/bootstrap.go
+++ b/entry/storeread/bootstrap.go
@@ -28,8 +28,10 @@
 			r.target.ServeWhenReady()
 			return
 		}
-		if source != "" && (r.readStore(ctx) == nil || !r.sleep(storeRetryMin)) {
-			return
+		if source != "" {
+			if _, err := r.readStore(ctx); err == nil || !r.sleep(storeRetryMin) {
+				return
+			}
 		}
 		if !known && r.options.Peers.ShouldReadAtStart(now, now.Sub(startedAt)) || !r.sleep(startPoll) {
 			return
--- a/entry/storeread/loop.go
+++ b/entry/storeread/loop.go
@@ -67,11 +67,11 @@
 // configuration in any case: peers send servers and configurations separately, so that the
 // configuration here may be older than the list.
 func (r *Reader) watchStore(ctx context.Context) error {
-	if err := r.readStore(ctx); err != nil {
+	revision, err := r.readStore(ctx)
+	if err != nil {
 		return err
 	}
 	for r.tomb.Alive() && r.UpdateReading(time.Now()) {
-		revision := r.target.Position()
 		options := r.Options()
 		changes, err := r.options.Store.Watch(ctx, revision, options.LongPollTimeout(watchWait))
 		if err != nil {
@@ -79,6 +79,7 @@
 		}
 		r.recordSuccess()
 		r.applyWatched(revision, changes)
+		revision = changes.Revision
 		r.target.ServeWhenReady()
 		if !r.sleep(options.PollDelay()) {
 			return nil
@@ -87,20 +88,21 @@
 	return nil
 }
 
-// readStore reads what a watch from the known position would not report.
-func (r *Reader) readStore(ctx context.Context) error {
+// readStore reads what a watch from the known position would not report, and returns the revision from
+// which a watch reports all further changes. That is not the position of the list of servers alone:
+// peers may advance it past a configuration that they have not passed on.
+func (r *Reader) readStore(ctx context.Context) (revision uint64, err error) {
 	var servers platform.Changes
 	full := r.target.Position() == 0 || r.isLost()
 	if full {
-		var err error
 		servers, err = r.options.Store.ReadServers(ctx)
 		if err != nil {
-			return err
+			return 0, err
 		}
 	}
 	operators, err := r.options.Store.ReadOperatorRows(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	afterOutage := r.recordSuccess()
 	r.target.ReplaceEvacuations(operators)
@@ -114,7 +116,7 @@
 		// there is no configuration to serve with yet.
 		r.options.Peers.BroadcastState()
 	}
-	return nil
+	return min(r.target.Position(), operators.Revision), nil
 }
 
 // applyWatched applies the changes of a watch and sends them to the other entries of the zone.
