Announce a version that a full read of the store has found

What callers saw: an older version at the entries that don't read the store, up to a heartbeat (0.5 s, 1 s if one is lost) longer. Cause: changes of a watch are sent at once, but what a new reader finds with its first read was announced at the start of a zone only; others heard of it with the next heartbeat, after they had already waited for the change of readers. Class: a wait that each step bounds and nobody sums. Evidence: TestAVersionFoundByANewReaderIsAnnounced waited 10 s for an announcement; now there is one, and none where the version was known.

--- a/entry/gateway/storetarget.go
+++ b/entry/gateway/storetarget.go
@@ -11,6 +11,11 @@
 
 func (t storeTarget) Position() uint64 { return t.s.position() }
 
+func (t storeTarget) Version() uint64 {
+	version, _ := t.s.versions()
+	return version
+}
+
 func (t storeTarget) ResetPosition() { t.s.resetPosition() }
 
 func (t storeTarget) Advance(revision uint64) {
--- a/entry/storeread/loop.go
+++ b/entry/storeread/loop.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		return 0, err
 	}
+	known := r.target.Version()
 	afterOutage := r.recordSuccess()
 	r.target.ReplaceEvacuations(operators)
 	r.target.ApplyChanges(operators, "platform")
@@ -111,9 +112,10 @@
 		r.target.ReplaceServers(servers, afterOutage)
 	}
 	r.target.ServeWhenReady()
-	if r.target.Starting() {
+	if r.target.Starting() || r.target.Version() > known {
 		// Other entries wait for the store readers before they read the store themselves, although
-		// there is no configuration to serve with yet.
+		// there is no configuration to serve with yet. A version that this read found has waited
+		// for a change of readers already and should not wait for a heartbeat too.
 		r.options.Peers.BroadcastState()
 	}
 	return min(r.target.Position(), operators.Revision), nil
--- a/entry/storeread/reader.go
+++ b/entry/storeread/reader.go
@@ -53,6 +53,8 @@
 	// never read, or after ResetPosition.
 	Position() uint64
 	ResetPosition()
+	// Version returns the version of the configuration; 0 if there is none.
+	Version() uint64
 	// Advance records that the list of servers is complete up to a revision.
 	Advance(revision uint64)
 	// ApplyChanges applies single changes, ReplaceServers and ReplaceEvacuations the complete lists
