Get a version that a peer advertises and doesn't deliver from another peer or the store

What callers saw: answers by an older version, refusals by it among them, for as long as a peer that had the newer one was heard but did not deliver it. Cause: an entry fetched views one at a time, from the newest peer only, with 1.5 s for each, and asked the same peer again after a failure; and as the peer advertised fresh state of the store, the entry did not read the store itself. The waits on the path of a version (reader lost 1.6 s, next heartbeat 0.5 s, fetch 1.5 s) were bounded one by one and passed the limit of 3 s together. The model of a zone that should have shown it took no time to fetch. Evidence: TestEveryHealthyEntryLearnsOfChangesInTime, where a fetch takes time now, failed with a single reader that no entry reaches (3.1 s); TestAVersionThatAPeerDoesNotDeliver... waited without end.

A view that has not arrived after 0.4 s is fetched from a second peer too; a peer that failed is not asked for 0.5 s; and an entry that is behind for a quarter of the limit, without having read the store meanwhile, reads the store, staggered by rank. Each is decided in core/peering.

--- a/core/peering/group.go
+++ b/core/peering/group.go
@@ -67,6 +67,9 @@
 	addressHash, rankHash uint64
 	// needsSync is set while the member has missed events and was not sent them again.
 	needsSync bool
+	// fetchBegan is the time at which the fetch of the member's view that is under way began, fetchFailed that at
+	// which the last one failed; zero if none.
+	fetchBegan, fetchFailed time.Time
 	// recordsSentAt is the time at which the member was last sent all quarantine records.
 	recordsSentAt time.Time
 }
@@ -103,6 +106,10 @@
 	readOptions ReadOptions
 	// serving is set while this entry accepts requests.
 	serving bool
+	// ownVersion is this entry's configuration version, and behindSince the time since which it has been that one while
+	// another entry had a later one; zero if none has.
+	ownVersion  uint64
+	behindSince time.Time
 	// firstHeard is the time of the first message of any entry, lastLocalFound the time at which the last member
 	// of the own zone became known.
 	firstHeard, lastLocalFound time.Time
--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -15,6 +15,9 @@
 	minSharedReadLimit = 2500 * time.Millisecond
 	// staleShare is the part of that limit after which the state of the store counts as stale.
 	staleShare = 0.5
+	// undeliveredShare is the part of that limit after which an entry reads a version from the store that others
+	// have and don't deliver.
+	undeliveredShare = 0.25
 	// readStagger is the delay between entries of consecutive ranks that read the store for lack of fresh state:
 	// the success of the first one mostly spares the others the read.
 	readStagger = 50 * time.Millisecond
@@ -70,8 +73,20 @@
 // SetReadOptions sets this entry's own options.
 func (g *Group) SetReadOptions(options ReadOptions) { g.readOptions = options }
 
+// RecordVersion records this entry's configuration version.
+func (g *Group) RecordVersion(now time.Time, version uint64) {
+	switch {
+	case g.LatestVersion(now) <= version:
+		g.behindSince = time.Time{}
+	case g.behindSince.IsZero() || version != g.ownVersion:
+		g.behindSince = now
+	}
+	g.ownVersion = version
+}
+
 // ShouldRead reports whether this entry has to read the store: it ranks first in its zone among those that can,
-// or the state known in the zone is stale. While the entries' views differ, more than needed read.
+// the state known in the zone is stale, or no peer delivers a version that others have. While the entries' views
+// differ, more than needed read.
 func (g *Group) ShouldRead(now time.Time, self StoreState) bool {
 	if !g.readOptions.AllowsSharedReads() {
 		return true
@@ -84,7 +99,18 @@
 	if rank < readersPerZone {
 		return true
 	}
-	return g.Staleness(now) > g.readOptions.staleAfter()+time.Duration(rank-readersPerZone)*readStagger
+	stagger := time.Duration(rank-readersPerZone) * readStagger
+	return g.Staleness(now) > g.readOptions.staleAfter()+stagger || g.isUndelivered(now, self, stagger)
+}
+
+// isUndelivered reports whether this entry has waited for a version of others long enough, and has not read the
+// store meanwhile: one that was restored from a backup may not have that version.
+func (g *Group) isUndelivered(now time.Time, self StoreState, stagger time.Duration) bool {
+	if g.behindSince.IsZero() {
+		return false
+	}
+	behind := now.Sub(g.behindSince)
+	return behind > time.Duration(undeliveredShare*float64(g.readOptions.Limit))+stagger && self.Age > behind
 }
 
 // canRead reports whether a member can read the store for others. A starting member can once it reads: there may
--- a/core/peering/readers_test.go
+++ b/core/peering/readers_test.go
@@ -212,17 +212,22 @@
 )
 
 // Every combination of faults hits the entries of a zone at every phase of their heartbeats: four entries with
-// all kinds of fault, six with those that cause the longest succession of readers without the store. A healthy
+// all kinds of fault, six with those that cause the longest succession of readers without the store, three one after
+// the other. A healthy
 // entry has to learn of any change of the store within the limit, although its reader and the next ones by rank
 // may be terminated, cut off in one direction or stale. Otherwise callers would be served by a configuration, or
 // sent to a server, that has been gone for seconds.
 func TestEveryHealthyEntryLearnsOfChangesInTime(t *testing.T) {
-	simulateAllFaults(t, 4, faultKinds)
-	simulateAllFaults(t, 6, storeless+1)
+	simulateAllFaults(t, 4, faultKinds, 0)
+	simulateAllFaults(t, 6, storeless+1, 0)
+	for _, interval := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond} {
+		simulateAllFaults(t, 3, faultKinds, interval)
+	}
 }
 
-// simulateAllFaults simulates every combination of the first kinds of faults over some entries.
-func simulateAllFaults(t *testing.T, entries int, kinds fault) {
+// simulateAllFaults simulates every combination of the first kinds of faults over some entries, which fail one after
+// the other at an interval.
+func simulateAllFaults(t *testing.T, entries int, kinds fault, interval time.Duration) {
 	combinations := 1
 	for range entries {
 		combinations *= int(kinds)
@@ -234,7 +239,8 @@
 		}
 		for phase := range 5 {
 			z := newSimulatedZone(faultOf, time.Duration(phase)*tick)
-			z.simulate(t, 7*time.Second)
+			z.interval = interval
+			z.simulate(t, 7*time.Second+time.Duration(entries)*interval)
 		}
 	}
 }
@@ -254,7 +260,8 @@
 type simulatedZone struct {
 	groups      []*Group
 	struck      []fault
-	faultsAt    time.Duration // when the faults begin
+	faultsAt    time.Duration // when the first fault begins
+	interval    time.Duration // between the faults of two entries
 	now         time.Duration
 	knownUpTo   []time.Duration
 	callAt      []time.Duration // when the call under way is sent, after its poll delay
@@ -283,10 +290,11 @@
 }
 
 func (z *simulatedZone) hasFault(i int, f fault) bool {
-	if f == frozen && z.now > z.faultsAt+2*time.Second {
+	since := z.now - z.faultsAt - time.Duration(i)*z.interval
+	if f == frozen && since > 2*time.Second {
 		return false
 	}
-	return z.now >= z.faultsAt && z.struck[i] == f
+	return since >= 0 && z.struck[i] == f
 }
 
 func (z *simulatedZone) isStopped(i int) bool { return z.hasFault(i, killed) || z.hasFault(i, frozen) }
@@ -309,6 +317,7 @@
 // step lets an entry decide, read and send.
 func (z *simulatedZone) step(i int) {
 	state := z.state(i)
+	z.groups[i].RecordVersion(z.clock(), z.version(i))
 	z.reading[i] = z.groups[i].ShouldRead(z.clock(), state)
 	switch {
 	case !z.reading[i]:
@@ -336,15 +345,16 @@
 		if z.now >= f.endsAt && f.succeed {
 			z.knownUpTo[i] = max(z.knownUpTo[i], z.knownUpTo[f.peer])
 		}
+		if z.now >= f.endsAt {
+			z.groups[i].EndFetch(z.clock(), entryAt(f.peer), f.succeed)
+		}
 		return z.now >= f.endsAt
 	})
-	if len(z.fetches[i]) > 0 {
-		return
-	}
 	address, ok := z.groups[i].NewerPeer(z.clock(), z.version(i), 0, false)
 	if !ok {
 		return
 	}
+	z.groups[i].BeginFetch(z.clock(), address)
 	peer := slices.IndexFunc(z.groups, func(g *Group) bool { return g.self == address })
 	f := simulatedFetch{peer: peer, endsAt: z.now + tick, succeed: true}
 	if z.isStopped(peer) || z.hasFault(peer, undelivering) || z.hasFault(peer, mute) || z.hasFault(peer, deaf) || z.hasFault(i, mute) || z.hasFault(i, deaf) {
--- a/entry/peerlink/catchup.go
+++ b/entry/peerlink/catchup.go
@@ -40,26 +40,33 @@
 }
 
 // catchUp fetches the view of a peer that is further ahead: the configuration always, the servers
-// only if this entry does not read the store.
+// only if this entry does not read the store. If the view does not arrive soon, another peer is
+// asked as well.
 func (l *Link) catchUp(now time.Time) {
 	version, revision := l.options.Status.Versions()
 	withServers := l.learnsServersFromPeers()
 	l.mu.Lock()
 	peer, ok := l.group.NewerPeer(now, version, revision, withServers)
-	ok = ok && !l.fetching
-	l.fetching = l.fetching || ok
+	if ok {
+		l.group.BeginFetch(now, peer)
+	}
 	l.mu.Unlock()
 	if !ok {
 		return
 	}
-	go func() {
-		defer func() {
-			l.mu.Lock()
-			l.fetching = false
-			l.mu.Unlock()
-		}()
-		if err := l.fetch(peer, withServers); err != nil {
-			l.log.WithError(err).WithField("peer", peer).Warn("fetching a newer view from a peer failed")
-		}
-	}()
+	time.AfterFunc(peering.FetchHedgeDelay, func() { l.catchUp(time.Now()) })
+	go l.catchUpFrom(peer, withServers)
+}
+
+// catchUpFrom fetches the view of a peer, and that of another one if this fails.
+func (l *Link) catchUpFrom(peer string, withServers bool) {
+	err := l.fetch(peer, withServers)
+	now := time.Now()
+	l.mu.Lock()
+	l.group.EndFetch(now, peer, err == nil)
+	l.mu.Unlock()
+	if err != nil {
+		l.log.WithError(err).WithField("peer", peer).Warn("fetching a newer view from a peer failed")
+		l.catchUp(now)
+	}
 }
--- a/entry/peerlink/link.go
+++ b/entry/peerlink/link.go
@@ -45,10 +45,9 @@
 	// capacity is the rate of the host's network link in Mbit/s, as sent to the peers.
 	capacity atomic.Int64
 
-	mu       sync.Mutex
-	group    *peering.Group
-	outbox   outbox
-	fetching bool
+	mu     sync.Mutex
+	group  *peering.Group
+	outbox outbox
 	// encodedViews caches the encoded views.
 	encodedViews viewCache
 	// catchUpPending is set while a scheduled catchUp has not run.
--- a/entry/peerlink/membership.go
+++ b/entry/peerlink/membership.go
@@ -96,8 +96,10 @@
 
 // ShouldRead reports whether this entry has to read the store itself.
 func (l *Link) ShouldRead(now time.Time, self peering.StoreState) bool {
+	version, _ := l.options.Status.Versions()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.group.RecordVersion(now, version)
 	return l.group.ShouldRead(now, self)
 }
 
