Open a new connection to the store after a second without calls

What callers saw: an older version while readers change. Cause: an entry that takes over reading used a connection kept for up to a minute; one that was dropped without notice costs the whole timeout of the call, 1 s, beside the wait for the change of readers. Calls of a reader follow each other within 0.1 of the limit of changes, so that they still share a connection. Class: a wait on the path of a version. Evidence: the test counts connections: two calls 0.2 s apart use one, one after 1.5 s opened none with the old minute (expected 2, was 1).

--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -220,10 +220,15 @@
 // so that an unresponsive peer is detected after two.
 var serverKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// storeIdleTimeout is the time after which an unused connection to the store is not used again. A
+// reader's calls follow each other sooner; an entry that reads after a while would find out by a
+// timeout that its connection was dropped without notice.
+const storeIdleTimeout = time.Second
+
 // storeClient returns a client that reuses its connection to the store.
 func storeClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: newDialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
-		IdleConnTimeout: time.Minute}}
+		IdleConnTimeout: storeIdleTimeout}}
 }
 
 // heapMemoryShare is the share of the process's memory for the Go heap; the rest is for stacks,
--- a/entry/gateway/versions_test.go
+++ b/entry/gateway/versions_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/lifecycle"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/platform/standin"
 )
 
@@ -72,3 +76,31 @@
 	w.eventually("the version is confirmed again", func() bool { return w.call(s, http.MethodGet, "/missing/", 0, "").status == http.StatusNotFound })
 	require.Equal(t, http.StatusUnauthorized, unknownKey().status)
 }
+
+// Guards against waiting on a connection to the store that was dropped without notice since its last use.
+func TestAConnectionToTheStoreIsNotUsedAfterAWhile(t *testing.T) {
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := storeClient()
+	read := func() {
+		response, err := client.Get(server.URL)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	read()
+	time.Sleep(peering.ReadOptions{Limit: DefaultChangeLimit}.PollDelay())
+	read()
+	require.EqualValues(t, 1, opened.Load(), "calls of a reader")
+	time.Sleep(storeIdleTimeout + storeIdleTimeout/2)
+	read()
+	require.EqualValues(t, 2, opened.Load())
+}
