Notice a silently dropped watch within the limit of changes

What callers saw: an older version, where each entry reads the store for itself (limits below 2.5 s). Cause: a watch waited 2 s whatever the limit, and 1 s beyond before it was given up, then came the pause and the read: 3.26 s where a version has 2 s and a disruption of connections is excused for 3. Class: a wait on the path of a version.

The wait, the time beyond it (0.6 s now, above the slowest answers) and the poll delay fit the limit together; where one entry of a zone reads for others the wait was shorter already and only the time beyond it changes. TestAShortLimitMakesAllRead held the wait of 2 s itself, which is what was wrong; it holds the sum now. Cost: a call each 1.4 s in place of 2.2 s and entry, at limits below 2.5 s.

--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -24,6 +24,11 @@
 	// heartbeatSlack is by how much the age of a healthy reader's state, as other entries see it, may exceed the
 	// reader's poll delay plus its long poll: one heartbeat interval and the transmission.
 	heartbeatSlack = HeartbeatInterval + 100*time.Millisecond
+	// WatchMargin is the time beyond its wait after which a watch of the store is given up: the store responds in
+	// milliseconds, and in up to some 400 ms while it is slow.
+	WatchMargin = 600 * time.Millisecond
+	// minLongPoll bounds the calls to the store where the limit on changes is very short.
+	minLongPoll = 200 * time.Millisecond
 	// pollDelayShare is the part of the limit on changes that a reader waits between two calls, so that changes
 	// in quick succession come in one answer.
 	pollDelayShare = 0.1
@@ -62,10 +67,11 @@
 }
 
 // LongPollTimeout returns how long a reader's call may wait for changes, longest at most: the answers show the
-// others that the reader still reaches the store.
+// others that the reader still reaches the store. An entry that reads for itself has to notice within the limit
+// that its watch was dropped without notice.
 func (o ReadOptions) LongPollTimeout(longest time.Duration) time.Duration {
 	if !o.AllowsSharedReads() {
-		return longest
+		return max(min(longest, o.Limit-WatchMargin-o.PollDelay()), minLongPoll)
 	}
 	return min(longest, o.staleAfter()-heartbeatSlack-o.PollDelay())
 }
--- a/core/peering/readers_test.go
+++ b/core/peering/readers_test.go
@@ -121,7 +121,8 @@
 		g.SetReadOptions(ReadOptions{Capacity: 1, Limit: minSharedReadLimit - 1})
 	}
 	require.Len(t, readersOf(groups, start), 4)
-	require.Equal(t, 2*time.Second, ReadOptions{Limit: 2 * time.Second}.LongPollTimeout(2*time.Second))
+	short := ReadOptions{Limit: 2 * time.Second}
+	require.Equal(t, 2*time.Second, short.PollDelay()+short.LongPollTimeout(2*time.Second)+WatchMargin, "a watch that is dropped without notice ends within the limit")
 	require.Equal(t, time.Second, ReadOptions{Limit: 4 * time.Second}.LongPollTimeout(2*time.Second))
 }
 
@@ -251,9 +252,8 @@
 // readOptions make entries learn of changes within the limit.
 var readOptions = ReadOptions{Limit: changeLimit}
 
-// callTimeout is the time after which a call on an unresponsive connection is given up: its long poll, and the second
-// that the store's client allows beyond it.
-func callTimeout() time.Duration { return readOptions.LongPollTimeout(2*time.Second) + time.Second }
+// callTimeout is the time after which a call on an unresponsive connection is given up.
+func callTimeout() time.Duration { return readOptions.LongPollTimeout(2*time.Second) + WatchMargin }
 
 // simulatedZone simulates the entries of a zone and the store in steps of virtual time. The store changes
 // continuously; knownUpTo is the time up to which an entry has learned of all changes.
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -28,6 +28,7 @@
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/membership"
 	"arbutusdeck/core/netopts"
+	"arbutusdeck/core/peering"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/core/process"
 	"arbutusdeck/core/quarantine"
@@ -150,6 +151,7 @@
 	s.peers = peerlink.New(peerlink.Options{Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: s.incarnation, Seeds: settings.Seeds, Log: s.log, Traffic: s.traffic,
 		Status: peers, Views: peers, Loads: peers, Records: peers, Placements: peers})
 	store := platform.NewStore(settings.Store, storeClient(), storeTimeout)
+	store.SetWatchMargin(peering.WatchMargin)
 	store.OnCall(s.traffic.CountCall)
 	s.reader = storeread.New(storeread.Options{Zone: settings.Zone, Store: store, Target: storeTarget{s}, Peers: s.peers, Log: s.log, Errors: s.counters.storeErrors})
 	s.setReadOptions(settings.readOptions())
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -112,8 +112,8 @@
 	// dialTimeout bounds connecting to a backend server. A round trip takes a few milliseconds; an
 	// unresponsive server is skipped, and nothing has been sent.
 	dialTimeout = 250 * time.Millisecond
-	// storeTimeout bounds a call to the store, and a watch beyond its wait. The store responds in
-	// milliseconds, and in up to some 250 ms while it is slow.
+	// storeTimeout bounds a call to the store other than a watch. The store responds in
+	// milliseconds, and in up to some 250 ms while it is slow; a large list takes longer.
 	storeTimeout = time.Second
 	// shutdownLinger is the time for which new requests are accepted after SIGTERM. The load
 	// balancer probes once a second and stops routing after two failures.
--- a/entry/storeread/reader.go
+++ b/entry/storeread/reader.go
@@ -20,8 +20,8 @@
 
 const (
 	// watchWait bounds one long poll of a watch. Each call adds load to the store, but a watch that
-	// the store has silently dropped is detected only when the wait ends, and a configuration has
-	// to apply two seconds after it was acknowledged by a store that has been healthy for three.
+	// the store has silently dropped is detected only when the wait ends. A short limit of changes
+	// shortens it.
 	watchWait = 2 * time.Second
 	// storeRetryMin and storeRetryMax bound the backoff after a failed call.
 	storeRetryMin = 100 * time.Millisecond
