Count an answer of the store once it is applied

A reader recorded the answer's time before it had applied the configuration in it, which takes a small host tens of milliseconds; a heartbeat between said that its version was the store's as of a moment ago. Others that judge their own version by it would take the older one for confirmed. Class: which entry may vouch for its version. Evidence: TestAnAnswerCountsOnceItIsApplied fails with the time recorded first (run without it). The time of the answer, not of its application, is recorded.

--- a/entry/storeread/availability.go
+++ b/entry/storeread/availability.go
@@ -44,18 +44,17 @@
 	return !r.lostSince.IsZero()
 }
 
-// recordSuccess records a response of the store and returns whether it was unavailable before.
-func (r *Reader) recordSuccess() bool {
-	now := time.Now()
+// recordSuccess records a response of the store that arrived at answeredAt, by the clock of boottime,
+// and has been applied. It must not be recorded earlier: others take this entry's version for the
+// store's as of that time.
+func (r *Reader) recordSuccess(answeredAt time.Time) {
 	r.mu.Lock()
-	wasLost := !r.lostSince.IsZero()
-	first := r.lastSuccess.IsZero()
-	r.lastSuccess, r.lostSince = boottime.At(now), time.Time{}
+	regained := r.lastSuccess.IsZero() || !r.lostSince.IsZero()
+	r.lastSuccess, r.lostSince = answeredAt, time.Time{}
 	r.mu.Unlock()
-	if first || wasLost {
+	if regained {
 		r.options.Log.Info("reached the metadata store")
 	}
-	return wasLost
 }
 
 // recordFailure records a failed call and returns whether it is the first in a row.
--- a/entry/storeread/loop.go
+++ b/entry/storeread/loop.go
@@ -8,6 +8,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"arbutusdeck/entry/boottime"
 	"arbutusdeck/platform"
 )
 
@@ -77,8 +78,7 @@
 		if err != nil {
 			return err
 		}
-		r.recordSuccess()
-		r.applyWatched(revision, changes)
+		r.applyWatched(boottime.At(time.Now()), revision, changes)
 		revision = changes.Revision
 		r.target.ServeWhenReady()
 		if !r.sleep(options.PollDelay()) {
@@ -93,7 +93,8 @@
 // peers may advance it past a configuration that they have not passed on.
 func (r *Reader) readStore(ctx context.Context) (revision uint64, err error) {
 	var servers platform.Changes
-	full := r.target.Position() == 0 || r.isLost()
+	afterOutage := r.isLost()
+	full := r.target.Position() == 0 || afterOutage
 	if full {
 		servers, err = r.options.Store.ReadServers(ctx)
 		if err != nil {
@@ -104,13 +105,13 @@
 	if err != nil {
 		return 0, err
 	}
-	known := r.target.Version()
-	afterOutage := r.recordSuccess()
+	answeredAt, known := boottime.At(time.Now()), r.target.Version()
 	r.target.ReplaceEvacuations(operators)
 	r.target.ApplyChanges(operators, "platform")
 	if full {
 		r.target.ReplaceServers(servers, afterOutage)
 	}
+	r.recordSuccess(answeredAt)
 	r.target.ServeWhenReady()
 	if r.target.Starting() || r.target.Version() > known {
 		// Other entries wait for the store readers before they read the store themselves, although
@@ -121,9 +122,11 @@
 	return min(r.target.Position(), operators.Revision), nil
 }
 
-// applyWatched applies the changes of a watch and sends them to the other entries of the zone.
-func (r *Reader) applyWatched(from uint64, changes platform.Changes) {
+// applyWatched applies the changes of a watch that was answered at answeredAt, and sends them to the
+// other entries of the zone.
+func (r *Reader) applyWatched(answeredAt time.Time, from uint64, changes platform.Changes) {
 	r.target.ApplyChanges(changes, "platform")
 	r.target.Advance(changes.Revision)
+	r.recordSuccess(answeredAt)
 	r.sendChanges(from, changes)
 }
--- a/entry/storeread/loop_test.go
+++ b/entry/storeread/loop_test.go
@@ -40,8 +40,11 @@
 type peerFedTarget struct {
 	Target
 	position, version uint64
+	// applying is called before a configuration is applied.
+	applying func()
 }
 
+func (t *peerFedTarget) Advance(uint64)                      {}
 func (t *peerFedTarget) Position() uint64                    { return t.position }
 func (t *peerFedTarget) Version() uint64                     { return t.version }
 func (t *peerFedTarget) ReplaceEvacuations(platform.Changes) {}
@@ -49,6 +52,9 @@
 func (t *peerFedTarget) Starting() bool                      { return false }
 
 func (t *peerFedTarget) ApplyChanges(changes platform.Changes, _ string) {
+	if t.applying != nil {
+		t.applying()
+	}
 	t.version = max(t.version, changes.Configuration.Version)
 }
 
@@ -59,6 +65,7 @@
 }
 
 func (p *soleReader) ShouldRead(time.Time, peering.StoreState) bool { return true }
+func (p *soleReader) RunningIn(time.Time, string) []string          { return nil }
 func (p *soleReader) HasFreshPeer(time.Time) bool                   { return false }
 
 func (p *soleReader) BroadcastState() {
@@ -103,3 +110,20 @@
 	}
 	require.Empty(t, current.announced)
 }
+
+// Guards against an entry that vouches for its version by an answer which it has not applied yet.
+func TestAnAnswerCountsOnceItIsApplied(t *testing.T) {
+	store := &scriptedStore{rows: platform.Changes{Revision: 30, Configuration: &routes.Definition{Version: 7}}}
+	target := &peerFedTarget{position: 20, version: 6}
+	r := New(Options{Zone: "here", Store: store, Target: target, Peers: &soleReader{announced: make(chan struct{}, 1)}, Log: process.NewDiscardLogger()})
+	r.UpdateReading(time.Now())
+	target.applying = func() { require.False(t, r.State(time.Now()).Reads) }
+	_, err := r.readStore(t.Context())
+	require.NoError(t, err)
+	require.True(t, r.State(time.Now()).Reads)
+	first := r.lastSuccess
+	target.applying = func() { require.Equal(t, first, r.lastSuccess) }
+	answeredAt := first.Add(time.Second)
+	r.applyWatched(answeredAt, 30, store.rows)
+	require.Equal(t, answeredAt, r.lastSuccess)
+}
