Refuse for good only by a configuration that is known to be current

What callers saw: 404 or 401, after which nobody comes again, for a route or key that a confirmed version had added. Cause: these refusals rested on whatever version was in force, also at an entry that had heard neither the store nor a reader of it for longer than the limit, or that had heard of a later version and not fetched it yet. Class: a final answer from knowledge of unknown age.

An entry knows as of when its version was the store's: its own last answer, or a reader's heartbeat with no later version. Past the limit, or with a later version advertised, the answer is 503 with a Retry-After of some half a second, not run; callers come to another entry. Requests that the configuration allows are served as before: availability doesn't hang on the store.

--- a/core/peering/readers.go
+++ b/core/peering/readers.go
@@ -76,6 +76,10 @@
 	return min(longest, o.staleAfter()-heartbeatSlack-o.PollDelay())
 }
 
+// Confirms reports whether a configuration that was the store's some time ago may be relied on to refuse a request
+// for good: until the limit has passed a later version need not be in force.
+func (o ReadOptions) Confirms(age time.Duration) bool { return age <= o.Limit }
+
 // SetReadOptions sets this entry's own options.
 func (g *Group) SetReadOptions(options ReadOptions) { g.readOptions = options }
 
--- a/entry/account/cause.go
+++ b/entry/account/cause.go
@@ -54,6 +54,7 @@
 var causeByCode = map[execution.Code]Cause{
 	gateway.CodeStopping:        RefusedStopping,
 	gateway.CodeNoConfiguration: RefusedConfiguration,
+	gateway.CodeUnconfirmed:     RefusedConfiguration,
 	gateway.CodeNoRoute:         Denied,
 	gateway.CodeUnauthorized:    Denied,
 	gateway.CodeBodyTooLarge:    Denied,
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -19,6 +19,7 @@
 // Error codes that the entry itself returns.
 const (
 	CodeNoConfiguration execution.Code = "no_configuration"
+	CodeUnconfirmed     execution.Code = "configuration_unconfirmed"
 	CodeStopping        execution.Code = "stopping"
 	CodeNoRoute         execution.Code = "no_route"
 	CodeUnauthorized    execution.Code = "unauthorized"
@@ -122,12 +123,22 @@
 	return e.readBody()
 }
 
+// unconfirmedRetryAfter is the Retry-After of a request that no confirmed configuration allows: the
+// time in which an entry that has lost its store reader reads the store itself.
+const unconfirmedRetryAfter = 500 * time.Millisecond
+
 // refuseForGood refuses a request by the configuration in force, with a status after which it is not
-// repeated.
+// repeated. If that configuration is not known to be current, a later one may allow the request, and
+// it is refused for now only.
 func (e *exchange) refuseForGood(status int, refusal execution.Refusal) {
 	now := time.Now()
-	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "configuration": e.table.Version(), "confirmedMs": e.s.confirmedAge(now).Milliseconds(),
-		"latest": e.s.peers.LatestVersion(now)}).Info("request refused by the configuration")
+	latest, age := e.s.peers.LatestVersion(now), e.s.confirmedAge(now)
+	e.s.log.WithFields(logrus.Fields{"request": e.info.ID, "configuration": e.table.Version(), "confirmedMs": age.Milliseconds(),
+		"latest": latest}).Info("request refused by the configuration")
+	if latest > e.table.Version() || !e.s.reader.Options().Confirms(age) {
+		status = http.StatusServiceUnavailable
+		refusal = execution.Refusal{Code: CodeUnconfirmed, Detail: refusal.Detail + ", but a later configuration may be in force", RetryAfter: e.jitter(unconfirmedRetryAfter)}
+	}
 	e.refuse(status, refusal)
 }
 
--- a/entry/gateway/versions_test.go
+++ b/entry/gateway/versions_test.go
@@ -69,12 +69,14 @@
 	for _, refused := range []reply{w.call(s, http.MethodGet, "/missing/", 0, ""), unknownKey()} {
 		require.Equal(t, http.StatusServiceUnavailable, refused.status)
 		require.NotEmpty(t, refused.header.Get("Retry-After"))
-		require.Equal(t, "not run", problemOf(t, refused).Run)
+		require.Equal(t, problem{Code: CodeUnconfirmed, Detail: problemOf(t, refused).Detail, Run: "notRun"}, problemOf(t, refused))
 	}
 	require.Equal(t, http.StatusOK, w.call(s, http.MethodGet, "/read/", 0, "").status)
 	w.store.FailWith(0)
 	w.eventually("the version is confirmed again", func() bool { return w.call(s, http.MethodGet, "/missing/", 0, "").status == http.StatusNotFound })
 	require.Equal(t, http.StatusUnauthorized, unknownKey().status)
+	s.peers.HandleMessage(time.Now(), peering.Message{From: "127.0.0.1:1", Incarnation: "x", Zone: "here", Version: uint64(w.version) + 1})
+	require.Equal(t, http.StatusServiceUnavailable, w.call(s, http.MethodGet, "/missing/", 0, "").status, "another entry has a later version")
 }
 
 // Guards against waiting on a connection to the store that was dropped without notice since its last use.
