Read the parts of a prompt and log them where a server breaks an attempt off

The lines of broken attempts name a fingerprint, which differs between requests that share a part, so that nobody could tell whether one part was in all of them. No decision reads the parts yet.

--- a/entry/gateway/responses.go
+++ b/entry/gateway/responses.go
@@ -155,14 +155,15 @@
 }
 
 // logAttempt logs the result of an attempt. If the server broke the connection, the line has the
-// fingerprint, which is the same for all repeats of the request, and states whether the server has
-// crashed, if that was checked.
+// fingerprint, which is the same for all repeats of the request, and the parts of its prompt, and
+// states whether the server has crashed, if that was checked.
 func (e *exchange) logAttempt(result attemptResult) {
 	fields := logrus.Fields{"request": e.info.ID, "server": result.Server, "result": result.Kind.String(),
 		"cause": string(result.Refusal.Code), "detail": result.Refusal.Detail, "events": e.eventCount, "lastEvent": e.lastEventID}
 	if result.Kind == execution.ForwardBroken {
 		fields["fingerprint"] = e.fingerprint().String()
 		fields["serverEnded"] = result.serverCrashed
+		fields["parts"] = e.info.PromptParts
 	}
 	if !result.firstEventAt.IsZero() {
 		fields["answerMs"] = time.Since(result.firstEventAt).Milliseconds()
