Quarantine parts of prompts under which servers crash

Cause: the quarantine knew whole requests only (125 fingerprints in 11 s, none at more than three ends), so each such request counted for itself. Class: evidence kept under a key that the cause does not share.

core/quarantine.PartTracker: each complete answer that a server wrote clears the parts of its prompt, at all entries; crashes under requests that were sent one after the other accuse; of requests that were under way together one counts, so that a rack's failure accuses nothing; a part at more crashes explains those of others; parts at the same crashes are refused together, and one by one from five crashes on; a part answered within the last minute needs six. Records are bounded, expire after an hour, are broadcast, repeated by digest and sent to entries that start, like those of requests. The check stands before each attempt and again before a request is sent that has waited for memory. An answer without a length or chunks clears only if its server still runs: it may have ended with it.

--- a/core/peering/kind.go
+++ b/core/peering/kind.go
@@ -23,7 +23,7 @@
 		return KindUpdate
 	case m.PlacementRequest != nil, m.PlacementReply != nil:
 		return KindPlacement
-	case len(m.Records) > 0:
+	case len(m.Records)+len(m.PartRecords) > 0:
 		return KindRecords
 	case m.HasEvents():
 		return KindEvents
--- a/core/peering/message.go
+++ b/core/peering/message.go
@@ -55,7 +55,7 @@
 	Members []ZoneMembers `cbor:"12,keyasint,omitempty"`
 	// Records describe requests that have crashed servers.
 	Records []quarantine.Record `cbor:"21,keyasint,omitempty"`
-	// RecordsDigest is the sender's quarantine.Tracker.Digest, plus one; 0 if not given.
+	// RecordsDigest is the digest of the sender's records of requests and of parts, plus one; 0 if not given.
 	RecordsDigest uint64 `cbor:"22,keyasint,omitempty"`
 	// WantsMembers asks the recipient for the entries of the sender's zone.
 	WantsMembers bool `cbor:"23,keyasint,omitempty"`
@@ -79,6 +79,8 @@
 	// Claims are the prompts that wait at the sender for memory, as of the time of sending, and those that wait no
 	// longer. They are sent to the entries of the sender's zone.
 	Claims []claims.Report `cbor:"32,keyasint,omitempty"`
+	// PartRecords describe parts of prompts under which servers have crashed.
+	PartRecords []quarantine.PartRecord `cbor:"33,keyasint,omitempty"`
 }
 
 // ZoneSummary is the state of a zone as its entries report it.
@@ -159,5 +161,5 @@
 
 // HasEvents reports whether the message carries events of requests or servers.
 func (m *Message) HasEvents() bool {
-	return len(m.Dispatches)+len(m.FirstEvents)+len(m.Ended)+len(m.Unreachable)+len(m.Records)+len(m.Limits)+len(m.Claims) > 0
+	return len(m.Dispatches)+len(m.FirstEvents)+len(m.Ended)+len(m.Unreachable)+len(m.Records)+len(m.PartRecords)+len(m.Limits)+len(m.Claims) > 0
 }
--- a/core/quarantine/exonerated.go
+++ b/core/quarantine/exonerated.go
@@ -13,9 +13,10 @@
 	maxExonerated = 1024
 )
 
-// exonerated is the set of requests with a recent complete answer. It keeps two generations: the current one
-// becomes the previous one when it is ExonerationTime old, or full.
+// exonerated is the set of requests, or parts of prompts, with a recent complete answer. It keeps two generations:
+// the current one becomes the previous one when it is as old as a generation lasts, or full.
 type exonerated struct {
+	generation        time.Duration
 	current, previous map[Fingerprint]bool
 	since             time.Time
 }
@@ -39,9 +40,9 @@
 // rotate drops the generations that are too old.
 func (e *exonerated) rotate(now time.Time) {
 	switch age := now.Sub(e.since); {
-	case age >= 2*ExonerationTime:
+	case age >= 2*e.generation:
 		e.previous, e.current, e.since = nil, nil, now
-	case age >= ExonerationTime:
+	case age >= e.generation:
 		e.previous, e.current, e.since = e.current, nil, now
 	}
 }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -45,7 +45,9 @@
 }
 
 // NewTracker returns a Tracker without records.
-func NewTracker() *Tracker { return &Tracker{records: map[Fingerprint]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{records: map[Fingerprint]*record{}, exonerated: exonerated{generation: ExonerationTime}}
+}
 
 // Empty reports whether no request is remembered.
 func (tr *Tracker) Empty() bool { return len(tr.records) == 0 }
--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -22,11 +22,16 @@
 	execution.ForwardResult
 	// complete is set if the caller has the complete response, success if its status is 2xx.
 	complete, success bool
+	// wrote is set if the server wrote a part of that response in this attempt: a stream may be resumed
+	// after its last event. unframed is set if only the end of its connection marked its end.
+	wrote, unframed bool
 	// conclusion is set if the request itself has ended: its deadline has passed or the caller has
 	// disconnected.
 	conclusion *execution.Conclusion
 	// response is a server's error response, which the caller may get.
 	response *bufferedResponse
+	// sentAt is the time at which the request was sent to the server; zero if it was not.
+	sentAt time.Time
 	// firstEventAt is the arrival time of the attempt's first event; zero without any.
 	firstEventAt time.Time
 	// connErr is the error that broke the connection to the server; nil if it did not break.
@@ -96,6 +101,9 @@
 	if refusing, ok := e.s.refusingServer(time.Now(), choice); ok {
 		return e.unsent(ctx, choice, dispatch.ID, refusing, "the server takes no requests any more")
 	}
+	if e.quarantinedFor(time.Now()) > 0 {
+		return e.unsent(ctx, choice, dispatch.ID, server, "the request was quarantined while it waited")
+	}
 	reservation.watchUnused(cancel)
 	stall := e.watchStall(attemptCtx, choice, cancel)
 	defer stall.stop()
@@ -106,6 +114,7 @@
 	request := e.upstreamRequest(attemptCtx, choice, reservation)
 	e.phase.set(phaseSent)
 	sentAt := time.Now()
+	defer func() { result.sentAt = sentAt }()
 	response, err := e.s.transport.RoundTrip(request)
 	if err != nil {
 		return e.noResponse(ctx, server.IncarnationID(), err)
@@ -281,10 +290,15 @@
 		e.s.recordFailure(server)
 		return e.incompleteResult(ctx, server, execution.ForwardBroken, execution.Refusal{Code: execution.CodeEngineFailed, Detail: "the answer is not the server's own"})
 	}
+	var result attemptResult
 	if success && e.route.Streaming {
-		return e.readStream(ctx, choice, progress, response)
+		result = e.readStream(ctx, choice, progress, response)
+	} else {
+		result = e.readBuffered(ctx, server, response, success)
+		result.wrote = true
 	}
-	return e.readBuffered(ctx, server, response, success)
+	result.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return result
 }
 
 // minNotExecutedRetryAfter is the Retry-After of a request that a server has not executed while
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -24,10 +24,32 @@
 	return e.hash
 }
 
+// partFingerprints returns the identities of the parts of the request's prompt.
+func (e *exchange) partFingerprints() []quarantine.Fingerprint {
+	if e.parts == nil {
+		for _, id := range e.info.PromptParts {
+			e.parts = append(e.parts, quarantine.PartFingerprint(id))
+		}
+	}
+	return e.parts
+}
+
 // startedRequest is a request that had just started at a server which may have crashed.
 type startedRequest struct {
 	id          execution.RequestID
 	fingerprint quarantine.Fingerprint
+	parts       []quarantine.Fingerprint
+	// sentAt is the time at which it was sent to the server.
+	sentAt time.Time
+}
+
+// partNames returns the fingerprints of the parts as in log lines.
+func (r startedRequest) partNames() []string {
+	names := make([]string, 0, len(r.parts))
+	for _, part := range r.parts {
+		names = append(names, part.String())
+	}
+	return names
 }
 
 // checkCrash checks whether the server of an incomplete attempt has crashed, and records
@@ -40,7 +62,7 @@
 	if result.connErr == nil || !quarantine.RecentlyStarted(time.Now(), result.firstEventAt) {
 		return
 	}
-	request := startedRequest{e.info.ID, e.fingerprint()}
+	request := startedRequest{e.info.ID, e.fingerprint(), e.partFingerprints(), result.sentAt}
 	switch {
 	case result.conclusion != nil || result.cancelledHere:
 		e.s.checkCrashLater(request, choice)
--- a/entry/gateway/fuzz_test.go
+++ b/entry/gateway/fuzz_test.go
@@ -33,7 +33,8 @@
 		{PlacementRequest: &peering.PlacementRequest{Service: "engines", Dispatch: d, Remaining: time.Second}}, {PlacementReply: &peering.PlacementReply{ID: "d", Server: "i-0", Reserved: []int64{1}}},
 		{Update: &peering.Update{BaseRevision: 1, UpToRevision: 3, Servers: []directory.Server{{ID: "i-9", Service: "engines", Address: "127.0.0.1:1", Revision: 3}},
 			Tombstones: []directory.Tombstone{{ID: "i-1", Revision: 3}}}},
-		{Records: []quarantine.Record{{Fingerprint: quarantine.Fingerprint{1}, Crashes: []uint64{1, 2, 3}, Age: time.Second}, {Cleared: 9}}}}
+		{Records: []quarantine.Record{{Fingerprint: quarantine.Fingerprint{1}, Crashes: []uint64{1, 2, 3}, Age: time.Second}, {Cleared: 9}}},
+		{PartRecords: []quarantine.PartRecord{{Part: quarantine.Fingerprint{1}, Crashes: []quarantine.PartCrash{{Server: 1, SentAge: 2, Age: 1}}, Age: 1}, {Cleared: 9}}}}
 }
 
 // FuzzPeerMessages passes any message to an entry. Each message goes to all entries: one that
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -64,6 +64,8 @@
 	// hash is the request's fingerprint; valid if hashed is set.
 	hash   quarantine.Fingerprint
 	hashed bool
+	// parts are the fingerprints of the prompt's parts; nil until computed.
+	parts []quarantine.Fingerprint
 	// lastEventID identifies the last event that was sent to the caller.
 	lastEventID string
 	eventCount  int
--- a/entry/gateway/peerservices.go
+++ b/entry/gateway/peerservices.go
@@ -62,20 +62,23 @@
 func (p peerServices) RecordsDigest() uint32 {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	return p.s.tracker.Digest()
+	return p.s.recordsDigest()
 }
 
-func (p peerServices) MergeRecords(now time.Time, records []quarantine.Record) (digest uint32) {
+func (p peerServices) MergeRecords(now time.Time, records []quarantine.Record, parts []quarantine.PartRecord) (digest uint32) {
 	p.s.mu.Lock()
-	defer p.s.mu.Unlock()
 	p.s.tracker.Merge(now, records)
-	return p.s.tracker.Digest()
+	cleared := p.s.parts.Merge(now, parts)
+	digest = p.s.recordsDigest()
+	p.s.mu.Unlock()
+	p.s.peers.BroadcastPartRecords(cleared)
+	return digest
 }
 
-func (p peerServices) Records(now time.Time) []quarantine.Record {
+func (p peerServices) Records(now time.Time) ([]quarantine.Record, []quarantine.PartRecord) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	return p.s.tracker.Records(now)
+	return p.s.tracker.Records(now), p.s.parts.Records(now)
 }
 
 func (p peerServices) Place(now time.Time, from string, request peering.PlacementRequest) peering.PlacementReply {
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -13,16 +14,11 @@
 	"arbutusdeck/core/quarantine"
 )
 
-// quarantined reports whether the request is refused because servers crash under it. It is checked
-// before each attempt, also after a first one: that attempt may have caused the third crash.
+// quarantined reports whether the request is refused because servers crash under it, or under a part
+// of its prompt. It is checked before each attempt, also after a first one: that attempt may have
+// caused the third crash.
 func (e *exchange) quarantined(now time.Time) (execution.Refusal, bool) {
-	if e.s.tracksNoRequests() {
-		return execution.Refusal{}, false
-	}
-	f := e.fingerprint()
-	e.s.mu.Lock()
-	remaining := e.s.tracker.RefusedFor(now, f)
-	e.s.mu.Unlock()
+	remaining := e.quarantinedFor(now)
 	if remaining == 0 {
 		return execution.Refusal{}, false
 	}
@@ -30,6 +26,31 @@
 	return execution.Quarantined(remaining), true
 }
 
+// quarantinedFor returns for how long the request is not to be sent to any server.
+func (e *exchange) quarantinedFor(now time.Time) time.Duration {
+	return max(e.requestRefusedFor(now), e.partsRefusedFor(now))
+}
+
+func (e *exchange) requestRefusedFor(now time.Time) time.Duration {
+	if e.s.tracksNoRequests() {
+		return 0
+	}
+	f := e.fingerprint()
+	e.s.mu.Lock()
+	defer e.s.mu.Unlock()
+	return e.s.tracker.RefusedFor(now, f)
+}
+
+func (e *exchange) partsRefusedFor(now time.Time) time.Duration {
+	parts := e.partFingerprints()
+	e.s.mu.Lock()
+	defer e.s.mu.Unlock()
+	return e.s.parts.RefusedFor(now, parts)
+}
+
+// recordsDigest returns the digest of all quarantine records; the caller holds the lock.
+func (s *Server) recordsDigest() uint32 { return s.tracker.Digest() + s.parts.Digest() }
+
 // tracksNoRequests reports whether no request is tracked, so that fingerprints need not be
 // computed.
 func (s *Server) tracksNoRequests() bool {
@@ -66,12 +87,14 @@
 		return
 	}
 	record, isNew := s.tracker.ServerCrashed(now, request.fingerprint, incarnation)
-	refused := s.tracker.RefusedFor(now, request.fingerprint) > 0
+	parts := s.parts.ServerCrashed(now, request.sentAt, request.parts, incarnation)
+	refused := s.tracker.RefusedFor(now, request.fingerprint) > 0 || s.parts.RefusedFor(now, request.parts) > 0
 	s.mu.Unlock()
+	s.peers.BroadcastPartRecords(parts)
 	if !isNew {
 		return
 	}
-	s.log.WithFields(logrus.Fields{"request": request.id, "fingerprint": request.fingerprint.String(), "server": incarnation, "ends": len(record.Crashes), "refused": refused}).
+	s.log.WithFields(logrus.Fields{"request": request.id, "fingerprint": request.fingerprint.String(), "server": incarnation, "ends": len(record.Crashes), "refused": refused, "parts": request.partNames()}).
 		Info("a server has ended under a request that had just begun there")
 	s.peers.BroadcastRecord(record)
 }
@@ -84,14 +107,34 @@
 	return s.directory.Superseded(choice.Server.IncarnationID()) || ok && !known.Draining
 }
 
-// clearSuspicion clears a request that got its complete response.
-func (e *exchange) clearSuspicion(now time.Time) {
-	f := e.fingerprint()
-	e.s.mu.Lock()
-	record, isNew := e.s.tracker.Completed(now, f)
-	e.s.mu.Unlock()
+// clearSuspicion clears a request to which a server wrote a successful response up to its end, and the
+// parts of its prompt. If the end of the connection marked that end, the server is checked first: it
+// may have crashed after a whole event.
+func (e *exchange) clearSuspicion(choice placement.Choice, result attemptResult) {
+	if !result.success || !result.wrote {
+		return
+	}
+	request := startedRequest{e.info.ID, e.fingerprint(), e.partFingerprints(), result.sentAt}
+	if !result.unframed {
+		e.s.recordCompletion(time.Now(), request)
+		return
+	}
+	go func() {
+		if !e.s.checkServerCrash(context.Background(), request, choice) {
+			e.s.recordCompletion(time.Now(), request)
+		}
+	}()
+}
+
+// recordCompletion clears a request and the parts of its prompt, and notifies all entries.
+func (s *Server) recordCompletion(now time.Time, request startedRequest) {
+	s.mu.Lock()
+	record, isNew := s.tracker.Completed(now, request.fingerprint)
+	cleared := s.parts.Completed(now, request.parts)
+	s.mu.Unlock()
+	s.peers.BroadcastPartRecords(cleared)
 	if isNew {
-		e.s.peers.BroadcastRecord(record)
+		s.peers.BroadcastRecord(record)
 	}
 }
 
@@ -100,22 +143,28 @@
 func (s *Server) updateQuarantine(now time.Time) {
 	s.mu.Lock()
 	s.tracker.Expire(now)
-	refused := s.tracker.AllRefused(now)
+	s.parts.Expire(now)
+	refused, refusedParts := s.tracker.AllRefused(now), s.parts.AllRefused(now)
 	s.mu.Unlock()
+	s.reportQuarantineChanges("a request under which servers end", s.quarantinedRequests, refused)
+	s.reportQuarantineChanges("a part of prompts under which servers end", s.quarantinedParts, refusedParts)
+	s.quarantinedRequests, s.quarantinedParts = refused, refusedParts
+}
+
+func (s *Server) reportQuarantineChanges(message string, before, refused map[quarantine.Fingerprint]bool) {
 	for _, f := range slices.SortedFunc(maps.Keys(refused), quarantine.Compare) {
-		if !s.quarantinedRequests[f] {
-			s.reportQuarantine(f, "served", "refused", "servers ended under it")
+		if !before[f] {
+			s.reportQuarantine(message, f, "served", "refused", "servers ended under it")
 		}
 	}
-	for _, f := range slices.SortedFunc(maps.Keys(s.quarantinedRequests), quarantine.Compare) {
+	for _, f := range slices.SortedFunc(maps.Keys(before), quarantine.Compare) {
 		if !refused[f] {
-			s.reportQuarantine(f, "refused", "served", "it was answered, or its term is over")
+			s.reportQuarantine(message, f, "refused", "served", "it was answered, or its term is over")
 		}
 	}
-	s.quarantinedRequests = refused
 }
 
-func (s *Server) reportQuarantine(f quarantine.Fingerprint, from, to, why string) {
-	s.log.WithFields(logrus.Fields{"fingerprint": f.String(), "from": from, "to": to, "why": why}).Warn("a request under which servers end")
+func (s *Server) reportQuarantine(message string, f quarantine.Fingerprint, from, to, why string) {
+	s.log.WithFields(logrus.Fields{"fingerprint": f.String(), "from": from, "to": to, "why": why}).Warn(message)
 	s.audit(audit.Event{Area: audit.Requests, Subject: f.String(), From: from, To: to, Reason: why, Source: "entries"})
 }
--- a/entry/gateway/quarantineparts_test.go
+++ b/entry/gateway/quarantineparts_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutusdeck/core/execution"
+	"arbutusdeck/core/peering"
+	"arbutusdeck/core/quarantine"
 	"arbutusdeck/platform/standin"
 )
 
@@ -46,11 +48,14 @@
 
 // requireServed sends a request until it is served; it may meet servers first that are gone, but no quarantine.
 func (f *poisonFleet) requireServed(s *Server, tokens int, parts ...string) {
-	f.eventually("a sound request is served", func() bool {
+	for until := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
 		r := f.sendParts(s, "key-1", tokens, parts...)
-		require.True(f.t, r.status == 200 || problemOf(f.t, r).Code != execution.CodeQuarantined, r.body)
-		return r.status == 200
-	})
+		if r.status == 200 {
+			return
+		}
+		require.True(f.t, time.Now().Before(until), "a sound request is not served: %s", r.body)
+		require.NotEqual(f.t, execution.CodeQuarantined, problemOf(f.t, r).Code)
+	}
 }
 
 // Guards against requests that share a part which crashes servers, while no two of them are alike.
@@ -92,3 +97,126 @@
 		})
 	}
 }
+
+// accusePart makes an entry learn from a peer that servers have crashed under a part.
+func accusePart(s *Server, id string) []quarantine.PartRecord {
+	source, now := quarantine.NewPartTracker(), time.Now()
+	for i, server := range []string{"a", "b", "c"} {
+		at := now.Add(time.Duration(i-3) * time.Second)
+		source.ServerCrashed(at, at, []quarantine.Fingerprint{quarantine.PartFingerprint(id)}, server)
+	}
+	records := source.Records(now)
+	if s != nil {
+		s.peers.HandleMessage(now, peering.Message{From: "127.0.0.1:1", Incarnation: "x", Zone: s.settings.Zone, PartRecords: records})
+	}
+	return records
+}
+
+// refusesPart returns a condition: the entry refuses requests with a part.
+func (s *Server) refusesPart(id string) func() bool {
+	return func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.parts.RefusedFor(time.Now(), []quarantine.Fingerprint{quarantine.PartFingerprint(id)}) > 0
+	}
+}
+
+// Guards against sending a request whose part was quarantined while the request waited for memory.
+func TestARequestThatWaitsIsNotSentOnceItsPartIsQuarantined(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	for i := range 4 {
+		worker := standin.NewWorker(fmt.Sprintf("i-%d", i), "engines")
+		worker.OrderDelay = 300 * time.Millisecond
+		w.addRow(worker)
+	}
+	s := w.serve()
+	replies := make(chan reply)
+	go func() {
+		replies <- call(standin.SetPromptParts(standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/stream/x", "waiting", 500_000, "prompt"), poisonPart, "own"))
+	}()
+	w.eventually("it waits", func() bool { return s.manager.Open() == 1 })
+	accusePart(s, poisonPart)
+	r := <-replies
+	require.Equal(t, http.StatusServiceUnavailable, r.status, r.body)
+	require.Equal(t, execution.CodeQuarantined, problemOf(t, r).Code)
+	require.Zero(t, w.runCount())
+}
+
+// Guards against an entry that never learns of a part because the datagrams with its records were lost.
+func TestALostPartRecordIsSentAgain(t *testing.T) {
+	f := newPoisonFleet(t, 2, "plain", 1, nil)
+	f.entries[0].mu.Lock()
+	f.entries[0].parts.Merge(time.Now(), accusePart(nil, poisonPart))
+	f.entries[0].mu.Unlock()
+	f.eventually("the second refuses it", f.entries[1].refusesPart(poisonPart))
+}
+
+// Guards against a part that crashes three more servers in each zone.
+func TestEntriesOfOtherZonesGetPartRecords(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	w.addZones("here", "there")
+	here, there := w.startTwoZones()
+	w.eventually("the first routes locally too", func() bool {
+		return here.peers.Membership(time.Now()).LocalRouting && len(here.peers.RunningIn(time.Now(), "there")) == 1
+	})
+	here.peers.BroadcastPartRecords(accusePart(nil, poisonPart))
+	require.Eventually(t, there.refusesPart(poisonPart), peering.HeartbeatInterval/2, time.Millisecond)
+}
+
+// Guards against clearing a part by what is no answer to it: a stream that had nothing left to write, and one whose
+// server has crashed after a whole event.
+func TestOnlyAWrittenAnswerClearsAPart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		script  func(*standin.Worker) http.HandlerFunc
+		cleared bool
+	}{
+		{"written", func(*standin.Worker) http.HandlerFunc {
+			return func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 2, 0) }
+		}, true},
+		{"nothing written", func(*standin.Worker) http.HandlerFunc {
+			return func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 0, 0) }
+		}, false},
+		{"ended with the connection", func(*standin.Worker) http.HandlerFunc {
+			return func(out http.ResponseWriter, r *http.Request) {
+				standin.OmitLength(out)
+				standin.ServeEvents(out, r, 2, 0)
+			}
+		}, true},
+		{"ended with the server", func(w *standin.Worker) http.HandlerFunc {
+			return func(out http.ResponseWriter, r *http.Request) {
+				standin.OmitLength(out)
+				standin.ServeEvents(out, r, 2, 0)
+				w.Crash()
+			}
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestbed(t)
+			w.configure(nil)
+			worker := standin.NewWorker("i-1", "engines")
+			worker.Script = c.script(worker)
+			w.addRow(worker)
+			s := w.serve()
+			s.mu.Lock()
+			s.parts.ServerCrashed(time.Now(), time.Now(), []quarantine.Fingerprint{quarantine.PartFingerprint("part")}, "earlier")
+			s.mu.Unlock()
+			request := standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/stream/x", "id", 2000, "prompt")
+			require.Equal(t, 200, call(standin.SetPromptParts(request, "part", "own")).status)
+			crashes := func() int {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return len(s.parts.Records(time.Now())[0].Crashes)
+			}
+			if c.cleared {
+				w.eventually("it is cleared", func() bool { return crashes() == 0 })
+				return
+			}
+			time.Sleep(5 * propagationTime)
+			require.Positive(t, crashes())
+		})
+	}
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -48,9 +48,7 @@
 		e.logChoice(choice)
 		result := e.attempt(ctx, choice)
 		if result.complete {
-			if result.success {
-				e.clearSuspicion(time.Now())
-			}
+			e.clearSuspicion(choice, result)
 			e.succeed()
 			return
 		}
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -77,9 +77,9 @@
 	spiller *spiller
 	// loadedSettings are the settings as last read; used by the settings loop only.
 	loadedSettings Settings
-	// quarantinedRequests are the requests that were refused at the last tick; used by the tick
-	// loop only.
-	quarantinedRequests map[quarantine.Fingerprint]bool
+	// quarantinedRequests and quarantinedParts are the requests, and the parts of prompts, that were
+	// refused at the last tick; used by the tick loop only.
+	quarantinedRequests, quarantinedParts map[quarantine.Fingerprint]bool
 
 	mu        sync.Mutex
 	settings  Settings
@@ -111,6 +111,8 @@
 	queues map[string]*slotQueue
 	// tracker tracks requests under which servers have crashed.
 	tracker *quarantine.Tracker
+	// parts tracks parts of prompts under which servers have crashed.
+	parts *quarantine.PartTracker
 	// claims are the prompts of this zone that wait for memory, claimWaiters the requests among them that wait here.
 	claims       *claims.Book
 	claimWaiters map[*exchange]struct{}
@@ -134,7 +136,7 @@
 		options: options, settings: settings, loadedSettings: settings, log: options.Log, incarnation: uuid.NewString()[:incarnationLength], registry: metrics.NewRegistry(),
 		directory: directory.New(directory.Options{}), loadTable: placement.NewLoadTable(settings.placementOptions()),
 		cold: coldstart.NewLimiter(), limiter: ratelimit.NewLimiter(), pauses: retryafter.NewPauses(), localRouting: map[string]zonerouting.LocalRouting{}, started: make(chan struct{}),
-		budgets: map[string]*execution.RetryBudget{}, queues: map[string]*slotQueue{}, tracker: quarantine.NewTracker(), separator: quarantine.NewSeparator(),
+		budgets: map[string]*execution.RetryBudget{}, queues: map[string]*slotQueue{}, tracker: quarantine.NewTracker(), parts: quarantine.NewPartTracker(), separator: quarantine.NewSeparator(),
 		claims: claims.New(claims.Options{ReportTTL: claimReportTTL}), claimWaiters: map[*exchange]struct{}{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
@@ -156,6 +158,7 @@
 	s.reader = storeread.New(storeread.Options{Zone: settings.Zone, Store: store, Target: storeTarget{s}, Peers: s.peers, Log: s.log, Errors: s.counters.storeErrors})
 	s.setReadOptions(settings.readOptions())
 	s.gauge("quarantine.requests", func() int { return len(s.tracker.AllRefused(time.Now())) })
+	s.gauge("quarantine.parts", func() int { return len(s.parts.AllRefused(time.Now())) })
 	metrics.NewRegisteredFunctionalGauge("configuration.confirmedMs", s.registry, func() int64 { return s.confirmedAge(time.Now()).Milliseconds() })
 	s.gauge("servers.limited", s.limiter.Count)
 	s.gauge("servers.paused", func() int { return len(s.pauses.Active(time.Now())) })
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -72,7 +72,9 @@
 		if errors.Is(err, io.EOF) {
 			e.s.recordSuccess(server)
 			e.sendStreamHeaders(response)
-			return completeResult(server, true)
+			result := completeResult(server, true)
+			result.wrote = !firstEventAt.IsZero()
+			return result
 		}
 		if err != nil {
 			if ctx.Err() == nil {
--- a/entry/peerlink/interfaces.go
+++ b/entry/peerlink/interfaces.go
@@ -61,12 +61,12 @@
 	ZoneSummary(now time.Time) *zonestate.Summary
 }
 
-// Records are the records of requests under which servers crash.
+// Records are the records of requests, and of parts of prompts, under which servers crash.
 type Records interface {
 	RecordsDigest() uint32
 	// MergeRecords merges the records of another entry and returns the digest after that.
-	MergeRecords(now time.Time, records []quarantine.Record) (digest uint32)
-	Records(now time.Time) []quarantine.Record
+	MergeRecords(now time.Time, records []quarantine.Record, parts []quarantine.PartRecord) (digest uint32)
+	Records(now time.Time) ([]quarantine.Record, []quarantine.PartRecord)
 }
 
 // Placements places requests of other zones.
--- a/entry/peerlink/outbox.go
+++ b/entry/peerlink/outbox.go
@@ -173,6 +173,7 @@
 		updates.FirstEvents = append(updates.FirstEvents, m.FirstEvents...)
 		updates.Ended = append(updates.Ended, m.Ended...)
 		updates.Records = append(updates.Records, m.Records...)
+		updates.PartRecords = append(updates.PartRecords, m.PartRecords...)
 		updates.Limits = append(updates.Limits, m.Limits...)
 	})
 	go l.flush()
@@ -180,9 +181,10 @@
 
 func (l *Link) sendLoadUpdates(targets []string, updates peering.Message) {
 	l.sendRecords(targets, updates.Records, updates.Relay)
+	l.sendPartRecords(targets, updates.PartRecords, updates.Relay)
 	l.sendLimits(targets, updates.Limits, updates.Relay)
 	l.sendClaims(targets, updates.Claims)
-	updates.Records, updates.Limits, updates.Claims = nil, nil, nil
+	updates.Records, updates.PartRecords, updates.Limits, updates.Claims = nil, nil, nil, nil
 	for len(updates.Dispatches) > maxDispatches {
 		l.send(targets, peering.Message{Dispatches: updates.Dispatches[:maxDispatches], Relay: updates.Relay})
 		updates.Dispatches = updates.Dispatches[maxDispatches:]
--- a/proof/mutations/quarantine_mutations_test.go
+++ b/proof/mutations/quarantine_mutations_test.go
@@ -24,7 +24,7 @@
 	{"late crash reports are tolerated", "core/quarantine/tracker.go", "r.sharedCrashes(other) >= len(other.crashes)-1", "false", quarantinePkg, "TestARequestBesideTheCulpritIsNotTakenForIt"},
 	{"a refused culprit is not released by a request that was beside it once", "core/quarantine/tracker.go", "r.sharedCrashes(other) >= len(other.crashes)-1", "len(r.crashes) >= len(other.crashes)-1", quarantinePkg, "TestARefusedCulpritIsNotReleased"},
 	{"two poison requests don't hide each other", "core/quarantine/tracker.go", "len(r.crashes) < CrashLimit && tr", "tr", quarantinePkg, "TestTwoCulpritsDoNotHideEachOther"},
-	{"a complete response clears a suspect request", "entry/gateway/run.go", "				e.clearSuspicion(time.Now())\n", "", gatewayPkg, "TestACompletedRequestIsCleared"},
+	{"a complete response clears a suspect request", "entry/gateway/run.go", "			e.clearSuspicion(choice, result)\n", "", gatewayPkg, "TestACompletedRequestIsCleared"},
 	{"a recently completed request is not blamed", "core/quarantine/tracker.go", "	if tr.exonerated.has(now, f) {\n", "	if false {\n", quarantinePkg, "TestARecentlyAnsweredRequestIsExonerated"},
 	{"the memory of completed requests is bounded", "core/quarantine/exonerated.go", "	if len(e.current) >= maxExonerated {", "	if false {", quarantinePkg, "TestExoneratedRequestsAreBounded"},
 	{"a late crash report does not undo a completion", "core/quarantine/record.go", "	if other.Cleared < r.cleared {", "	if false {", quarantinePkg, "TestACompleteAnswerClearsARequest"},
