Count crashes under poison parts against no request beside them

What callers saw: a sound request that is repeated (a status check, say) refused as quarantined for an hour. Cause: requests with a poison part are all different, each at one or two crashes; one that is repeated beside them is at more crashes than each and counted as unexplained. Class: evidence kept under a key that the cause does not share, once more.

A crash under a part that is refused counts against no request, nor one under a part of others that was at as many crashes, or at all but one, whose entry may have terminated (seen in the soak: an entry was killed half a second after its caller had left, before it checked the server). A request's own parts explain nothing. Requests with a part at a crash are kept apart from suspects like suspects themselves.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -296,6 +296,48 @@
 	return false
 }
 
+// refusedAt reports whether a part that is refused was at a crash.
+func (tr *PartTracker) refusedAt(now time.Time, server uint64) bool {
+	for part, r := range tr.records {
+		if r.hasCrash(server) && tr.isAccused(now, part, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayExplain reports whether a part, none of a request's own, was at a crash of that request and may have caused it: by
+// the same rule as between requests.
+func (tr *PartTracker) mayExplain(request *record, crash uint64, own []Fingerprint) bool {
+	for part, r := range tr.records {
+		if !r.hasCrash(crash) || slices.Contains(own, part) {
+			continue
+		}
+		shared := 0
+		for _, c := range request.crashes {
+			if r.hasCrash(c) {
+				shared++
+			}
+		}
+		if len(r.crashes) >= len(request.crashes) || shared >= len(request.crashes)-1 {
+			return true
+		}
+	}
+	return false
+}
+
+// MaxCrashes returns the highest number of crashes under one of some parts since its last answer. Separator keeps
+// requests apart by it, like suspects.
+func (tr *PartTracker) MaxCrashes(parts []Fingerprint) int {
+	most := 0
+	for _, part := range parts {
+		if r := tr.records[part]; r != nil {
+			most = max(most, len(r.crashes))
+		}
+	}
+	return most
+}
+
 // holdsCompanions reports whether a request with some parts holds all that were at the same crashes as one of them.
 func (tr *PartTracker) holdsCompanions(parts []Fingerprint, part Fingerprint, r *partRecord) bool {
 	for other, o := range tr.records {
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -127,6 +127,42 @@
 	require.False(t, tr.refuses(4, "rare", "own-9"), "explained by the other part")
 }
 
+// Guards against refusing a sound request that is repeated beside requests with poison parts, which are all different.
+func TestACrashUnderARefusedPartCountsAgainstNoRequest(t *testing.T) {
+	tracker, tr := NewTracker(), NewPartTracker()
+	tracker.SetParts(tr)
+	sound, fatal := request("sound"), request("fatal")
+	for i, server := range []string{"a", "b", "c"} {
+		tr.crash(float64(i), server, "bad", fmt.Sprint("own-", i))
+		tracker.ServerCrashed(second(float64(i)), sound, server)
+		tracker.ServerCrashed(second(float64(i)), fatal, server)
+	}
+	require.Zero(t, tracker.RefusedFor(second(3), sound))
+	for _, server := range []string{"d", "e", "f"} {
+		require.Zero(t, tracker.RefusedFor(second(3), fatal))
+		tracker.ServerCrashed(second(3), fatal, server)
+	}
+	require.Positive(t, tracker.RefusedFor(second(3), fatal), "three crashes of its own")
+	require.Equal(t, map[Fingerprint]bool{fatal: true}, tracker.AllRefused(second(3)))
+}
+
+// Guards against refusing a sound request because the crash of one of the requests beside it is not on record: its entry
+// has terminated.
+func TestAPartExplainsCrashesAlthoughOneIsNotOnRecord(t *testing.T) {
+	tracker, tr := NewTracker(), NewPartTracker()
+	tracker.SetParts(tr)
+	sound, own := request("sound"), parts("shared", "own")
+	for i, server := range []string{"a", "b", "c"} {
+		tracker.ServerCrashed(second(float64(i)), sound, server)
+		if i > 0 {
+			tr.crash(float64(i), server, "shared", "own")
+			tr.crash(float64(i), server, "bad")
+		}
+	}
+	require.Zero(t, tracker.RefusedForWith(second(3), sound, own))
+	require.Positive(t, tracker.RefusedForWith(second(3), sound, append(own, parts("bad")...)), "its own parts explain nothing")
+}
+
 // Guards against parts that hide each other because others with the same parts are always beside them.
 func TestPartsThatStayInseparableAreRefused(t *testing.T) {
 	tr := NewPartTracker()
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -42,6 +42,8 @@
 type Tracker struct {
 	records    map[Fingerprint]*record
 	exonerated exonerated
+	// parts are the parts of prompts that explain crashes; nil if none are tracked.
+	parts *PartTracker
 }
 
 // NewTracker returns a Tracker without records.
@@ -49,6 +51,10 @@
 	return &Tracker{records: map[Fingerprint]*record{}, exonerated: exonerated{generation: ExonerationTime}}
 }
 
+// SetParts sets the tracker of the parts of prompts. Crashes under a part that may have caused them don't count against
+// requests: one that is repeated beside different requests with that part would be at more of them than each.
+func (tr *Tracker) SetParts(parts *PartTracker) { tr.parts = parts }
+
 // Empty reports whether no request is remembered.
 func (tr *Tracker) Empty() bool { return len(tr.records) == 0 }
 
@@ -129,21 +135,46 @@
 
 // RefusedFor returns for how long a request is not to be sent to any server; 0 if it may be sent.
 func (tr *Tracker) RefusedFor(now time.Time, f Fingerprint) time.Duration {
+	return tr.refusedFor(f, now, func(r *record, crash uint64) bool { return tr.parts.refusedAt(now, crash) })
+}
+
+// RefusedForWith is RefusedFor for a request whose parts are known: crashes under other parts that may have caused
+// them don't count either.
+func (tr *Tracker) RefusedForWith(now time.Time, f Fingerprint, own []Fingerprint) time.Duration {
+	return tr.refusedFor(f, now, func(r *record, crash uint64) bool {
+		return tr.parts.refusedAt(now, crash) || tr.parts.mayExplain(r, crash, own)
+	})
+}
+
+func (tr *Tracker) refusedFor(f Fingerprint, now time.Time, explained func(r *record, crash uint64) bool) time.Duration {
 	r := tr.records[f]
-	if r == nil || len(r.crashes) < CrashLimit && tr.attributedCrashes(f, r) < AttributedCrashLimit {
+	if r == nil || len(r.crashes) < AttributedCrashLimit {
+		return 0
+	}
+	if r = tr.withoutCrashes(r, explained); len(r.crashes) < CrashLimit && tr.attributedCrashes(f, r) < AttributedCrashLimit {
 		return 0
 	}
 	return max(RecordTTL-now.Sub(r.changed), 0)
 }
 
-// suspectCrashes is the number of crashes from which on a request is a suspect, which Separator keeps apart from
+// withoutCrashes returns a record without the crashes that parts explain.
+func (tr *Tracker) withoutCrashes(r *record, explained func(r *record, crash uint64) bool) *record {
+	if tr.parts == nil || tr.parts.Empty() {
+		return r
+	}
+	remaining := *r
+	remaining.crashes = slices.DeleteFunc(slices.Clone(r.crashes), func(crash uint64) bool { return explained(r, crash) })
+	return &remaining
+}
+
+// SuspectCrashes is the number of crashes from which on a request is a suspect, which Separator keeps apart from
 // others.
-const suspectCrashes = 2
+const SuspectCrashes = 2
 
 // IsSuspect reports whether a request may be the cause of crashes.
 func (tr *Tracker) IsSuspect(f Fingerprint) bool {
 	r := tr.records[f]
-	return r != nil && len(r.crashes) >= suspectCrashes
+	return r != nil && len(r.crashes) >= SuspectCrashes
 }
 
 // attributedCrashes counts the crashes that no other request explains as well.
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -35,10 +35,10 @@
 	if e.s.tracksNoRequests() {
 		return 0
 	}
-	f := e.fingerprint()
+	f, parts := e.fingerprint(), e.partFingerprints()
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
-	return e.s.tracker.RefusedFor(now, f)
+	return e.s.tracker.RefusedForWith(now, f, parts)
 }
 
 func (e *exchange) partsRefusedFor(now time.Time) time.Duration {
@@ -62,17 +62,25 @@
 // otherSuspectServers returns the incarnations of the servers that other suspect requests may be
 // about to crash, if this request is a suspect too; the caller holds the lock.
 func (e *exchange) otherSuspectServers(now time.Time) []string {
-	if e.s.tracker.Empty() || !e.s.tracker.IsSuspect(e.fingerprint()) {
+	if !e.isSuspect(quarantine.SuspectCrashes) {
 		return nil
 	}
 	return e.s.separator.ServersOfOthers(now, e.fingerprint())
 }
 
-// recordSuspectSent keeps other suspects away from the chosen server, if the request is a suspect.
+// isSuspect reports whether the request, or a part of its prompt at that many crashes, may be the cause
+// of crashes; the caller holds the lock.
+func (e *exchange) isSuspect(partCrashes int) bool {
+	return !e.s.tracker.Empty() && e.s.tracker.IsSuspect(e.fingerprint()) || e.s.parts.MaxCrashes(e.partFingerprints()) >= partCrashes
+}
+
+// recordSuspectSent keeps other suspects away from the chosen server, if the request is a suspect. A part
+// is one from its first crash on: it is in requests that are never repeated, and most parts that are only
+// beside a crash are answered soon.
 func (e *exchange) recordSuspectSent(now time.Time, choice placement.Choice) {
 	e.s.mu.Lock()
 	defer e.s.mu.Unlock()
-	if !e.s.tracker.Empty() && e.s.tracker.IsSuspect(e.fingerprint()) {
+	if e.isSuspect(1) {
 		e.s.separator.RecordSend(now, e.fingerprint(), choice.Server.IncarnationID())
 	}
 }
@@ -88,7 +96,7 @@
 	}
 	record, isNew := s.tracker.ServerCrashed(now, request.fingerprint, incarnation)
 	parts := s.parts.ServerCrashed(now, request.sentAt, request.parts, incarnation)
-	refused := s.tracker.RefusedFor(now, request.fingerprint) > 0 || s.parts.RefusedFor(now, request.parts) > 0
+	refused := s.tracker.RefusedForWith(now, request.fingerprint, request.parts) > 0 || s.parts.RefusedFor(now, request.parts) > 0
 	s.mu.Unlock()
 	s.peers.BroadcastPartRecords(parts)
 	if !isNew {
--- a/entry/gateway/quarantineparts_test.go
+++ b/entry/gateway/quarantineparts_test.go
@@ -143,6 +143,21 @@
 	require.Zero(t, w.runCount())
 }
 
+// Guards against refusing a request that is repeated beside different requests with a poison part.
+func TestARequestBesideAQuarantinedPartIsServed(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	w.worker("i-1", "engines", func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 1, 0) })
+	s := w.serve()
+	accusePart(s, poisonPart)
+	s.mu.Lock()
+	for _, server := range []string{"a", "b", "c"} {
+		s.tracker.ServerCrashed(time.Now(), quarantine.FingerprintOf("press", http.MethodPost, "press.example", "/stream/x", []byte("sound")), server)
+	}
+	s.mu.Unlock()
+	require.Equal(t, 200, w.call(s, http.MethodPost, "/stream/x", 2000, "sound").status)
+}
+
 // Guards against an entry that never learns of a part because the datagrams with its records were lost.
 func TestALostPartRecordIsSentAgain(t *testing.T) {
 	f := newPoisonFleet(t, 2, "plain", 1, nil)
@@ -220,3 +235,34 @@
 		})
 	}
 }
+
+// Guards against sending a suspect to the server to which a request with a poison part has just been sent: both would be
+// at its crash.
+func TestARequestIsKeptApartFromOneWithASuspectPart(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	for i := range 3 {
+		w.worker(fmt.Sprintf("i-%d", i), "engines", func(out http.ResponseWriter, r *http.Request) {
+			standin.ServeEvents(out, r, 1, 0)
+			time.Sleep(500 * time.Millisecond)
+		})
+	}
+	s := w.serve()
+	s.makeSuspects("suspect")
+	s.mu.Lock()
+	s.parts.ServerCrashed(time.Now(), time.Now(), []quarantine.Fingerprint{quarantine.PartFingerprint(poisonPart)}, "earlier")
+	s.mu.Unlock()
+	replies := make(chan reply, 2)
+	send := func(body string, parts ...string) {
+		request := standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/stream/x", body, 2000, body)
+		if len(parts) > 0 {
+			standin.SetPromptParts(request, parts...)
+		}
+		go func() { replies <- call(request) }()
+	}
+	send("poison", poisonPart, "own")
+	w.eventually("it is sent", func() bool { return w.runCount() == 1 })
+	time.Sleep(propagationTime) // a response that is being written attracts the next request
+	send("suspect")
+	require.NotEqual(t, (<-replies).signature, (<-replies).signature)
+}
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -140,6 +140,7 @@
 		claims: claims.New(claims.Options{ReportTTL: claimReportTTL}), claimWaiters: map[*exchange]struct{}{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
+	s.tracker.SetParts(s.parts)
 	s.counters = newCounters(s.registry)
 	if settings.Overload.Spillover {
 		s.spiller = newSpiller(settings.Zone, s.registry)
--- a/proof/soak/cmd/soak/main.go
+++ b/proof/soak/cmd/soak/main.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "workers", Value: 9, Usage: "number of simulated backend servers"},
 			&cli.DurationFlag{Name: "bound", Value: soak.DefaultMaxPropagationDelay, Usage: "maximum propagation delay of a change; from 2.5s on two entries read the store for all"},
 			&cli.IntFlag{Name: "fatal", Value: 2, Usage: "number of poison requests, which are repeated and crash every server that starts to run them"},
+			&cli.IntFlag{Name: "parts", Value: 2, Usage: "number of parts of prompts that crash every server that starts to run a request with them"},
 			&cli.DurationFlag{Name: "hold", Value: soak.DefaultMaxCrashDelay, Usage: "how long at most servers run a poison request before they crash, while many of its callers disconnect"},
 			&cli.IntFlag{Name: "long", Value: 1, Usage: "number of callers per entry whose streams outlast most graceful shutdowns"},
 			&cli.BoolFlag{Name: "zones", Value: true, Usage: "spread the servers over two zones, evacuate one repeatedly, and let servers start cold"},
@@ -78,7 +79,7 @@
 func runSeed(c *cli.Command, seed uint64, binary, folder string) (bool, error) {
 	kept := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 	report, err := soak.Execute(soak.Options{Seed: seed, FaultDuration: time.Duration(c.Float("minutes") * float64(time.Minute)), Entries: c.Int("processes"),
-		Servers: c.Int("workers"), MaxPropagationDelay: c.Duration("bound"), PoisonRequests: c.Int("fatal"), MaxCrashDelay: c.Duration("hold"), LongStreamCallers: c.Int("long"), MultiZone: c.Bool("zones"), Binary: binary, Folder: kept, CheckTiming: !c.Bool("untimed"), Progress: os.Stderr})
+		Servers: c.Int("workers"), MaxPropagationDelay: c.Duration("bound"), PoisonRequests: c.Int("fatal"), PoisonParts: c.Int("parts"), MaxCrashDelay: c.Duration("hold"), LongStreamCallers: c.Int("long"), MultiZone: c.Bool("zones"), Binary: binary, Folder: kept, CheckTiming: !c.Bool("untimed"), Progress: os.Stderr})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, kept, err)
 	}
@@ -90,7 +91,7 @@
 	for _, f := range report.Findings {
 		fmt.Printf("  %s: %s\n", f.Guarantee, f.Detail)
 	}
-	fmt.Printf("  logs: %s; reproduce: soak --seed %d --minutes %g --processes %d --workers %d --bound %s --fatal %d --hold %s --long %d --zones=%t\n", kept, seed, c.Float("minutes"), c.Int("processes"),
-		c.Int("workers"), c.Duration("bound"), c.Int("fatal"), c.Duration("hold"), c.Int("long"), c.Bool("zones"))
+	fmt.Printf("  logs: %s; reproduce: soak --seed %d --minutes %g --processes %d --workers %d --bound %s --fatal %d --parts %d --hold %s --long %d --zones=%t\n", kept, seed, c.Float("minutes"), c.Int("processes"),
+		c.Int("workers"), c.Duration("bound"), c.Int("fatal"), c.Int("parts"), c.Duration("hold"), c.Int("long"), c.Bool("zones"))
 	return false, nil
 }
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -40,6 +40,9 @@
 	// PoisonRequests is the number of requests that crash every server which starts to run
 	// them, and are repeated throughout the run.
 	PoisonRequests int
+	// PoisonParts is the number of parts of prompts that do the same, each in requests that
+	// are otherwise all different.
+	PoisonParts int
 	// MaxCrashDelay bounds how long a server runs a poison request before it crashes. If
 	// positive, it must be at least a few milliseconds, and all callers of every second
 	// poison request disconnect before the crash.
--- a/proof/soak/poison.go
+++ b/proof/soak/poison.go
@@ -46,6 +46,33 @@
 
 func poisonRoute(number int) poisonRouteSpec { return poisonRoutes[(number-1)%len(poisonRoutes)] }
 
+// firstPartNumber is the lowest number of a poison part.
+const firstPartNumber = 101
+
+// poisonPartNumber returns the number of the poison part at an index: one whose poisonRoute takes prompts.
+func poisonPartNumber(index int) int { return firstPartNumber + 4*(index/2) + 3*(index%2) }
+
+func isPoisonPart(number int) bool { return number >= firstPartNumber }
+
+// soundPart is a part of the prompts of all requests to the paths of poison requests.
+const soundPart = "sound"
+
+func poisonPart(number int) string { return fmt.Sprintf("fatal-%d", number) }
+
+// poisonNumberOf returns the number of the poison request or part in a run; 0 for neither.
+func poisonNumberOf(run standin.Run) int {
+	number := 0
+	if _, err := fmt.Sscanf(run.Body, "fatal %d", &number); err == nil {
+		return number
+	}
+	for part := range strings.SplitSeq(run.Header.Get("Prompt-Prefix"), ",") {
+		if _, err := fmt.Sscanf(part, "fatal-%d:", &number); err == nil {
+			return number
+		}
+	}
+	return 0
+}
+
 // poisonBody returns the body of a poison request; number 0 stands for a harmless request
 // to the same path.
 func poisonBody(number int) string {
@@ -66,8 +93,8 @@
 // crashIfPoison crashes the server if the request is a poison request, and starts the next
 // server after a downtime. It returns whether the server has crashed.
 func (s *slot) crashIfPoison(w *standin.Worker, run standin.Run) bool {
-	number := 0
-	if _, err := fmt.Sscanf(run.Body, "fatal %d", &number); err != nil {
+	number := poisonNumberOf(run)
+	if number == 0 {
 		return false
 	}
 	s.records.recordPoisonRun(run.ID, s.index, w)
@@ -120,10 +147,10 @@
 	return true
 }
 
-// sendPoison repeats a poison request, each time followed by a harmless one, at random
-// entries until the context ends.
-func (tb *testbed) sendPoison(ctx context.Context, number int) {
-	sleep(ctx, firstPoisonAt+time.Duration(number-1)*poisonInterval)
+// sendPoison repeats a poison request, or requests with a poison part, each time followed by a
+// harmless one, at random entries until the context ends. index orders the first sends.
+func (tb *testbed) sendPoison(ctx context.Context, number, index int) {
+	sleep(ctx, firstPoisonAt+time.Duration(index)*poisonInterval)
 	random := rand.New(rand.NewPCG(tb.options.Seed, uint64(2+number)))
 	callers := make([]*caller, len(tb.daemons))
 	for entry := range tb.daemons {
@@ -136,20 +163,33 @@
 		if number%2 == 0 {
 			disconnectAfter = minCrashDelay(tb.options.MaxCrashDelay)
 		}
-		c.callPoison(number, number, disconnectAfter)
-		c.callPoison(number, 0, 0)
+		c.callPoison(number, true, disconnectAfter)
+		c.callPoison(number, false, 0)
 		sleep(ctx, poisonAttemptGap+time.Duration(random.IntN(poisonAttemptGapSpreadMs))*time.Millisecond)
 	}
 }
 
-// callPoison sends a request to the path of a poison request: that request itself if
-// bodyNumber is its number, a harmless one if it is 0. The caller disconnects after the given
-// time, or at random as other callers do if that is 0.
-func (c *caller) callPoison(number, bodyNumber int, disconnectAfter time.Duration) {
+// callPoison sends a request to the path of a poison request, or of a poison part: that
+// request itself or one with the part if poison is set, else a harmless one. The caller
+// disconnects after the given time, or at random as other callers do if that is 0.
+func (c *caller) callPoison(number int, poison bool, disconnectAfter time.Duration) {
 	c.callCount++
 	route := poisonRoute(number)
-	call := Call{ID: fmt.Sprintf("%s-%d", c.name, c.callCount), Kind: route.kind, Path: route.path, Entry: c.entry, Key: permanentKey, PoisonNumber: bodyNumber, Timeout: minTimeout}
-	request := standin.SetRemaining(standin.NewRequest(c.address, route.method, route.path, call.ID, route.tokens, poisonBody(bodyNumber)), call.Timeout)
+	call := Call{ID: fmt.Sprintf("%s-%d", c.name, c.callCount), Kind: route.kind, Path: route.path, Entry: c.entry, Key: permanentKey, Timeout: minTimeout}
+	body, parts := poisonBody(0), []string{soundPart}
+	if poison {
+		call.PoisonNumber = number
+	}
+	switch {
+	case poison && isPoisonPart(number):
+		body, parts = call.ID, append(parts, poisonPart(number))
+	case poison:
+		body = poisonBody(number)
+	}
+	request := standin.SetRemaining(standin.NewRequest(c.address, route.method, route.path, call.ID, route.tokens, body), call.Timeout)
+	if isPoisonPart(number) {
+		standin.SetPromptParts(request, append(parts, call.ID)...)
+	}
 	if disconnectAfter > 0 {
 		c.send(&call, request, disconnectAfter)
 	} else {
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -83,8 +83,17 @@
 	// The first run, with evacuations of one of two zones, and servers that start cold.
 	zoned := runs[0]
 	zoned.MultiZone = true
-	for _, o := range append(runs, shared, poisoned, delayed, long, zoned) {
-		t.Run(fmt.Sprint(o.Seed, " ", o.MaxPropagationDelay, " ", o.PoisonRequests, " ", o.MaxCrashDelay, " ", o.LongStreamCallers, " ", o.MultiZone), func(t *testing.T) {
+	// The same faults, with two parts of prompts that crash servers, at once and after a delay.
+	parts := runs[0]
+	parts.PoisonParts = 2
+	partsDelayed := parts
+	partsDelayed.MaxCrashDelay = DefaultMaxCrashDelay
+	for _, o := range append(runs, shared, poisoned, delayed, long, zoned, parts, partsDelayed) {
+		name := fmt.Sprint(o.Seed, " ", o.MaxPropagationDelay, " ", o.PoisonRequests, " ", o.MaxCrashDelay, " ", o.LongStreamCallers, " ", o.MultiZone)
+		if o.PoisonParts > 0 {
+			name += fmt.Sprint(" parts ", o.PoisonParts)
+		}
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			requireNoFindings(t, o, binary)
 		})
--- a/proof/soak/testbed.go
+++ b/proof/soak/testbed.go
@@ -373,7 +373,10 @@
 // startCallers starts the callers of all entries, which run until the context ends.
 func (tb *testbed) startCallers(ctx context.Context, callers *sync.WaitGroup) {
 	for i := range tb.options.PoisonRequests {
-		callers.Go(func() { tb.sendPoison(ctx, i+1) })
+		callers.Go(func() { tb.sendPoison(ctx, i+1, i) })
+	}
+	for i := range tb.options.PoisonParts {
+		callers.Go(func() { tb.sendPoison(ctx, poisonPartNumber(i), i) })
 	}
 	for entry := range tb.daemons {
 		for i := range callersPerEntry {
