A stopping entry checks the servers of cancelled requests before it exits

What callers saw: a poison request sent to a server more, for the fourth time. Cause: where a caller has left, the entry looks half a second later whether the server has crashed; one that stopped meanwhile exited without, and no other entry knows of the request; nor was the last record sure to be sent, as it was sent by a goroutine. Class: evidence that ends with its process. An entry that is killed still takes its evidence along.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -80,9 +80,18 @@
 // caused by it.
 const crashCheckDelay = 500 * time.Millisecond
 
-// checkCrashLater checks a server when it should have dropped the request.
+// checkCrashLater checks a server when it should have dropped the request. A stopping entry stays until
+// then: no other entry knows of the request.
 func (s *Server) checkCrashLater(request startedRequest, choice placement.Choice) {
-	time.AfterFunc(crashCheckDelay, func() { s.checkServerCrash(context.Background(), request, choice) })
+	s.manager.Join()
+	go func() {
+		defer s.manager.End()
+		select {
+		case <-time.After(crashCheckDelay):
+		case <-s.manager.Aborting().Done():
+		}
+		s.checkServerCrash(context.Background(), request, choice)
+	}()
 }
 
 // checkServerCrash reports whether the server of an attempt has crashed, and records the request if
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -204,6 +204,19 @@
 	}
 }
 
+// Guards against losing the crash of a server whose entry stops between its caller's leaving and the check of the server.
+func TestAStoppingEntryRecordsACrashAfterCancellation(t *testing.T) {
+	events := func(out http.ResponseWriter, r *http.Request) { standin.ServeEvents(out, r, 2, 0) }
+	f := newDelayedPoisonFleet(t, 2, "engines", 2, events, 150*time.Millisecond)
+	stopping, other := f.entries[0], f.entries[1]
+	stopping.manager.Drain()
+	time.Sleep(shutdownLinger - 200*time.Millisecond)
+	f.sendWithin(50*time.Millisecond, stopping, http.MethodPost, "/stream/x", "key-1", poisonBody, 2000)
+	require.NoError(t, stopping.manager.Wait(t.Context(), testTimeout))
+	stopping.tomb.Kill(nil)
+	f.eventually("the other entry has the record", func() bool { return !other.tracksNoRequests() })
+}
+
 // makeSuspects records two crashes under each of the streams with these bodies.
 func (s *Server) makeSuspects(bodies ...string) {
 	s.mu.Lock()
--- a/entry/peerlink/records.go
+++ b/entry/peerlink/records.go
@@ -26,13 +26,14 @@
 	}
 }
 
-// broadcast sends what is added to a message to all entries, at once.
+// broadcast sends what is added to a message to all entries, before it returns: this entry may be
+// about to exit.
 func (l *Link) broadcast(add func(*peering.Message)) {
 	l.mu.Lock()
 	allZones := DispatchRef{RemoteZones: l.group.RemoteZones()}
 	l.mu.Unlock()
 	l.enqueue(allZones, add)
-	go l.flush()
+	l.flush()
 }
 
 // sendAllRecords sends all records to an entry.
--- a/proof/mutations/quarantine_mutations_test.go
+++ b/proof/mutations/quarantine_mutations_test.go
@@ -14,6 +14,7 @@
 	{"an ambiguous timeout is probed again", "core/netopts/refuses.go", "const dialAttempts = 2\n", "const dialAttempts = 1\n", "arbutusdeck/core/netopts", "TestRefusalIsCheckedAgain"},
 	{"a crash without a reset is detected", "entry/gateway/crash.go", "		go e.s.checkServerCrash(context.Background(), request, choice)\n", "", gatewayPkg, "TestACrashWithoutAResetIsDetectedConcurrently"},
 	{"a crash after the caller has left is detected", "entry/gateway/crash.go", "		e.s.checkCrashLater(request, choice)\n", "", gatewayPkg, "TestACrashAfterCancellationIsDetected"},
+	{"a stopping entry checks the servers of cancelled requests", "entry/gateway/crash.go", "	s.manager.Join()\n	go func() {\n		defer s.manager.End()\n", "	go func() {\n", gatewayPkg, "TestAStoppingEntryRecords"},
 	{"suspect requests run on separate servers", "entry/gateway/run.go", "	suspectServers := e.otherSuspectServers(now)\n", "	var suspectServers []string\n", gatewayPkg, "TestTwoSuspects"},
 	{"a suspect request may share a server if there is no other", "entry/gateway/run.go", "	if refusal != \"\" && len(suspectServers) > 0 {", "	if false {", gatewayPkg, "TestASuspectIsNotRefused"},
 	{"suspect requests are forgotten after a time", "core/quarantine/separator.go", "		if now.Sub(s.at) >= separationTime {", "		if now.Sub(s.at) >= 1000*separationTime {", quarantinePkg, "TestSuspects"},
