One choice of the record to evict; names of the platform stay in platform/

Twins of core/quarantine merged (the same decision over both kinds of record); the soak reads the parts of a run through the stand-in, as does the test of answers without a length (the check of the platform's names failed on it). No behaviour changes.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -16,5 +16,8 @@
 //   - A complete answer clears a request, for the past and for a while after: it has run to its end without a
 //     crash of its server.
 //
+// Requests that share a part of their prompt which crashes servers may otherwise all be different. PartTracker records
+// crashes by part, by the same evidence and with rules of its own.
+//
 // Entries that hold the same records decide alike, in whatever order they received them.
 package quarantine
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -14,7 +14,7 @@
 	// partCrashLimit is the number of crashes, one after the other and without another explanation, after which
 	// requests with a part are refused.
 	partCrashLimit = 3
-	// answeredPartCrashLimit is the same for a part with an answer within AnsweredTime here: one that servers have
+	// answeredPartCrashLimit is the same for a part with an answer within answeredTime here: one that servers have
 	// borne until now is rather beside the cause.
 	answeredPartCrashLimit = 2 * partCrashLimit
 	// inseparablePartCrashLimit is the number of such crashes after which parts that were at the same ones are no longer
@@ -218,31 +218,23 @@
 	return cleared
 }
 
-// record returns the record of a part, a new one if there is none. When full it evicts the oldest of those with the
-// fewest crashes.
+// crashCount and lastChange order records for evictionCandidate.
+func (r *partRecord) crashCount() int       { return len(r.crashes) }
+func (r *partRecord) lastChange() time.Time { return r.changed }
+
+// record returns the record of a part, a new one if there is none.
 func (tr *PartTracker) record(part Fingerprint) *partRecord {
 	if r := tr.records[part]; r != nil {
 		return r
 	}
 	if len(tr.records) >= MaxRecords {
-		delete(tr.records, tr.evictionCandidate())
+		delete(tr.records, evictionCandidate(tr.records))
 	}
 	r := &partRecord{}
 	tr.records[part] = r
 	return r
 }
 
-func (tr *PartTracker) evictionCandidate() Fingerprint {
-	var found Fingerprint
-	var least *partRecord
-	for part, r := range tr.records {
-		if least == nil || cmp.Or(cmp.Compare(len(r.crashes), len(least.crashes)), r.changed.Compare(least.changed), Compare(part, found)) < 0 {
-			found, least = part, r
-		}
-	}
-	return found
-}
-
 // RefusedFor returns for how long a request with these parts is not to be sent to any server; 0 if it may be sent.
 // Parts that were at the same crashes can't be told apart: requests that hold all of them are refused, and, until
 // inseparablePartCrashLimit, those with some of them are served and tell which is the cause.
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -34,6 +34,10 @@
 	changed time.Time
 }
 
+// crashCount and lastChange order records for evictionCandidate.
+func (r *record) crashCount() int       { return len(r.crashes) }
+func (r *record) lastChange() time.Time { return r.changed }
+
 // addCrash adds a crash and reports whether it is new. Of more than CrashLimit the lowest hashes are kept, so
 // that entries that learn of the same crashes keep the same ones.
 func (r *record) addCrash(crash uint64) bool {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -107,26 +107,28 @@
 	return changed
 }
 
-// insert adds an empty record. When full it evicts the oldest of the records with the fewest crashes, so that
-// refused requests stay.
+// insert adds an empty record.
 func (tr *Tracker) insert(f Fingerprint) *record {
 	if len(tr.records) >= MaxRecords {
-		delete(tr.records, tr.evictionCandidate())
+		delete(tr.records, evictionCandidate(tr.records))
 	}
 	r := &record{}
 	tr.records[f] = r
 	return r
 }
 
-func (tr *Tracker) evictionCandidate() Fingerprint {
+// evictable is a record that may be evicted when there are too many.
+type evictable interface {
+	crashCount() int
+	lastChange() time.Time
+}
+
+// evictionCandidate returns the oldest of the records with the fewest crashes, so that those of what is refused stay.
+func evictionCandidate[R evictable](records map[Fingerprint]R) Fingerprint {
 	var found Fingerprint
-	var least *record
-	for f, r := range tr.records {
-		order := -1
-		if least != nil {
-			order = cmp.Or(cmp.Compare(len(r.crashes), len(least.crashes)), r.changed.Compare(least.changed), Compare(f, found))
-		}
-		if order < 0 {
+	var least evictable
+	for f, r := range records {
+		if least == nil || cmp.Or(cmp.Compare(r.crashCount(), least.crashCount()), r.lastChange().Compare(least.lastChange()), Compare(f, found)) < 0 {
 			found, least = f, r
 		}
 	}
--- a/entry/gateway/unframed_test.go
+++ b/entry/gateway/unframed_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	halfEvent := unframed(func(out http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Last-Event-Id") != "" {
+		if standin.RunFromRequest(r).LastEventID != "" {
 			standin.ServeEvents(out, r, 3, 0)
 			return
 		}
--- a/proof/soak/poison.go
+++ b/proof/soak/poison.go
@@ -65,8 +65,8 @@
 	if _, err := fmt.Sscanf(run.Body, "fatal %d", &number); err == nil {
 		return number
 	}
-	for part := range strings.SplitSeq(run.Header.Get("Prompt-Prefix"), ",") {
-		if _, err := fmt.Sscanf(part, "fatal-%d:", &number); err == nil {
+	for _, part := range run.PromptParts() {
+		if _, err := fmt.Sscanf(part, "fatal-%d", &number); err == nil {
 			return number
 		}
 	}
