--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -143,6 +143,7 @@
 			}
 			require.LessOrEqual(t, f.crashedCount(), maxCrashed, "servers that have crashed")
 			require.Equal(t, http.StatusServiceUnavailable, last.status, last.body)
+			require.Equal(t, execution.CodeQuarantined, problemOf(t, last).Code)
 			require.Equal(t, "notRun", problemOf(t, last).Run)
 			require.NotEmpty(t, last.header.Get("Retry-After"))
 			for _, s := range f.entries {
