A part that was answered after an earlier crash needs six crashes at all entries

What callers saw: sound requests refused for a part that is beside two poison parts, at more crashes than each, at entries that started since its last answer and so knew of none. Records carry how often a part was cleared; an entry goes by that too. Evidence: TestAPartBesideTwoCulpritsIsServed, red without (row).

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -14,8 +14,8 @@
 	// partCrashLimit is the number of crashes, one after the other and without another explanation, after which
 	// requests with a part are refused.
 	partCrashLimit = 3
-	// answeredPartCrashLimit is the same for a part with an answer within answeredTime here: one that servers have
-	// borne until now is rather beside the cause.
+	// answeredPartCrashLimit is the same for a part with an answer within answeredTime here, or after an earlier crash
+	// anywhere: one that servers have borne until now is rather beside the cause, or beside several.
 	answeredPartCrashLimit = 2 * partCrashLimit
 	// inseparablePartCrashLimit is the number of such crashes after which parts that were at the same ones are no longer
 	// told apart: requests with any of them are refused.
@@ -259,7 +259,7 @@
 		return false
 	}
 	limit := partCrashLimit
-	if tr.answered.has(now, part) {
+	if r.cleared > 0 || tr.answered.has(now, part) {
 		limit = answeredPartCrashLimit
 	}
 	return tr.unexplainedCrashes(part, r) >= limit
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -113,6 +113,23 @@
 	require.Equal(t, first.records[PartFingerprint("bad")].crashes, second.records[PartFingerprint("bad")].crashes)
 }
 
+// Guards against refusing a part that is beside two poison parts, at more crashes than each, at an entry that has
+// started since its last answer.
+func TestAPartBesideTwoCulpritsIsServed(t *testing.T) {
+	tr, started := NewPartTracker(), NewPartTracker()
+	tr.crash(0, "a", "shared", "bad")
+	tr.Completed(second(1), parts("shared"))
+	for i, id := range []string{"bad", "worse", "bad", "worse"} {
+		tr.crash(float64(4+i), fmt.Sprint(i), "shared", id)
+	}
+	started.Merge(second(8), tr.Records(second(8)))
+	require.False(t, started.refuses(8, "shared", "own"))
+	started.crash(9, "x", "shared", "bad")
+	started.crash(10, "y", "shared", "worse")
+	require.True(t, started.refuses(11, "shared", "bad"))
+	require.True(t, started.refuses(11, "shared", "worse"))
+}
+
 // Two parts are at the same crashes. Requests with both are refused, those with one of them tell which is the cause.
 func TestPartsAtTheSameCrashesAreToldApart(t *testing.T) {
 	tr := NewPartTracker()
--- a/proof/mutations/quarantineparts_mutations_test.go
+++ b/proof/mutations/quarantineparts_mutations_test.go
@@ -21,6 +21,7 @@
 	{"requests beside a suspect part are kept apart", "entry/gateway/quarantine.go", "	if e.isSuspect(1) {\n", "	if e.isSuspect(100) {\n", gatewayPkg, "TestARequestIsKeptApart|TestTwoSuspects"},
 	{"inseparable parts are refused", "core/quarantine/parts.go", "tr.unexplainedCrashes(part, r) >= inseparablePartCrashLimit || ", "", quarantinePkg, "TestPartsThatStay"},
 	{"a part that was answered recently needs more crashes", "core/quarantine/parts.go", "		limit = answeredPartCrashLimit\n", "", quarantinePkg, "TestARecentlyAnsweredPart"},
+	{"entries know from records that a part was answered", "core/quarantine/parts.go", "r.cleared > 0 || tr", "tr", quarantinePkg, "TestAPartBesideTwoCulprits"},
 	{"a part that was answered a moment ago is not blamed", "core/quarantine/parts.go", "		if tr.exonerated.has(now, part) {\n			continue\n		}\n", "", quarantinePkg, "TestAnAnswerClearsAPart"},
 	{"an entry clears for others what it has seen answered", "core/quarantine/parts.go", "len(r.crashes) > 0 && tr.exonerated.has(now, t.Part)", "false", quarantinePkg, "TestAnEntryThatHasSeen"},
 	{"a late crash of a part does not undo its clearing", "core/quarantine/parts.go", "	if other.Cleared < r.cleared {", "	if false {", quarantinePkg, "TestAnAnswerClearsAPart"},
