--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the review's scripts. They use the standard library only.
 set -e
 cd "$(dirname "$0")"
-GOWORK=off GOFLAGS=-mod=mod go build -o bin/standin ./cmd/standin
+GOWORK=off go build -o bin/standin ./cmd/standin
--- a/review/cmd/standin/main.go
+++ b/review/cmd/standin/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin worker|crash ...")
+		fmt.Fprintln(os.Stderr, "usage: standin worker|crash|part ...")
 		os.Exit(exitUnable)
 	}
 	switch os.Args[1] {
@@ -24,6 +24,8 @@
 		os.Exit(runWorker(os.Args[2:]))
 	case "crash":
 		os.Exit(runCrash(os.Args[2:]))
+	case "part":
+		os.Exit(runPart(os.Args[2:]))
 	}
 	os.Exit(exitUnable)
 }
--- a/review/cmd/standin/testbed.go
+++ b/review/cmd/standin/testbed.go
@@ -233,6 +233,6 @@
 			"Stride": 51, "step_ms": 0.85, "per_seq_ms": 0.00425, "context_per_k": 0.00285, "read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048,
 			"usual": map[string]any{"prompt": 4960, "answer": 1622}, "HopMs": 0.05}}},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []map[string]any{{"Name": "school", "ApiKeys": []string{"key-1"}, "Priority": 1}},
+		"Tenants": []map[string]any{{"Name": "school", "ApiKeys": []string{"key-1", schoolKey}, "Priority": 1}, {"Name": "press", "ApiKeys": []string{otherKey}, "Priority": 1}},
 	})
 }
--- a/review/cmd/standin/worker.go
+++ b/review/cmd/standin/worker.go
@@ -9,8 +9,11 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +24,8 @@
 	events int
 	gap    time.Duration
 	framed bool
+	// fatal are the parts of prompts on which the worker crashes as it begins to write.
+	fatal []string
 
 	mu  sync.Mutex
 	log io.Writer
@@ -35,7 +40,11 @@
 	flags.IntVar(&w.events, "events", 30, "events of a stream")
 	flags.DurationVar(&w.gap, "gap", 100*time.Millisecond, "pause between two events")
 	flags.BoolVar(&w.framed, "framed", false, "send streams in chunks")
+	fatal := flags.String("fatal", "", "parts of prompts, in a list with commas, on which the worker crashes")
 	_ = flags.Parse(arguments)
+	if *fatal != "" {
+		w.fatal = strings.Split(*fatal, ",")
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -97,6 +106,11 @@
 func (w *worker) stream(connection net.Conn, request *http.Request, id string) {
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.print("run %s after %d", id, last)
+	if w.isFatal(request.Header.Get("Prompt-Prefix")) {
+		time.Sleep(w.gap)
+		w.print("crash under %s", id)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %s\r\nResponse-Signature: signed.%s\r\nConnection: close\r\n", id, w.id)
 	if w.framed {
 		fmt.Fprint(connection, "Transfer-Encoding: chunked\r\n")
@@ -119,5 +133,16 @@
 	w.print("end %s", id)
 }
 
+// isFatal reports whether a prompt has a part on which the worker crashes.
+func (w *worker) isFatal(prefix string) bool {
+	for entry := range strings.SplitSeq(prefix, ",") {
+		part, _, _ := strings.Cut(entry, ":")
+		if slices.Contains(w.fatal, part) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventData is the data of an event, by which a client recognizes foreign and missing ones.
 func eventData(id string, number int) string { return fmt.Sprintf("piece %d of %s", number, id) }
