--- a/review/cmd/standin/crash.go
+++ b/review/cmd/standin/crash.go
@@ -137,8 +137,8 @@
 		return streamOther
 	}
 	request.Host = "press.example"
-	for name, value := range map[string]string{"Attempt-Id": id, "Model": "m", "Token-Usage": "4960,1622", "Prompt-Prefix": "5c1e07a2:40," + fmt.Sprintf("%x", id) + ":4920",
-		"Time-Remaining-Ms": "10000", "Authorization": "Bearer key-1"} {
+	for name, value := range map[string]string{names.ID: id, "Model": "m", names.Tokens: "4960,1622", names.Parts: "5c1e07a2:40," + fmt.Sprintf("%x", id) + ":4920",
+		names.Remaining: "10000", "Authorization": "Bearer key-1"} {
 		request.Header.Set(name, value)
 	}
 	t.note("client sends %s", id)
@@ -149,7 +149,7 @@
 		return streamOther
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK || response.Header.Get("Response-Signature") == "" {
+	if response.StatusCode != http.StatusOK || response.Header.Get(names.Signature) == "" {
 		t.note("client %s: status %d", id, response.StatusCode)
 		return streamOther
 	}
@@ -172,9 +172,9 @@
 		}
 	}
 	if seen == crashEvents && wrong == "" {
-		t.note("client %s: whole, signature %s", id, response.Header.Get("Response-Signature"))
+		t.note("client %s: whole, signature %s", id, response.Header.Get(names.Signature))
 		return streamWhole
 	}
-	t.note("client %s: RULE BROKEN: 200, signature %s, the stream ended as complete with %d of %d pieces %s", id, response.Header.Get("Response-Signature"), seen, crashEvents, wrong)
+	t.note("client %s: RULE BROKEN: 200, signature %s, the stream ended as complete with %d of %d pieces %s", id, response.Header.Get(names.Signature), seen, crashEvents, wrong)
 	return streamShort
 }
--- a/review/cmd/standin/part.go
+++ b/review/cmd/standin/part.go
@@ -180,8 +180,8 @@
 		return false
 	}
 	request.Host = "press.example"
-	for name, value := range map[string]string{"Attempt-Id": id, "Model": "m", "Token-Usage": "4960,1022", "Prompt-Prefix": prefix,
-		"Time-Remaining-Ms": "10000", "Authorization": "Bearer " + key} {
+	for name, value := range map[string]string{names.ID: id, "Model": "m", names.Tokens: "4960,1022", names.Parts: prefix,
+		names.Remaining: "10000", "Authorization": "Bearer " + key} {
 		request.Header.Set(name, value)
 	}
 	c.t.note("client sends %s to front-%d, parts %s", id, entry, prefix)
--- a/review/cmd/standin/worker.go
+++ b/review/cmd/standin/worker.go
@@ -77,8 +77,8 @@
 	if err != nil {
 		return
 	}
-	id := request.Header.Get("Attempt-Id")
-	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
+	id := request.Header.Get(names.ID)
+	if expected := request.Header.Get(names.Instance); expected != "" && expected != w.id {
 		fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nAttempt-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", w.id, id)
 		return
 	}
@@ -86,7 +86,7 @@
 	case "/health":
 		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", w.id)
 		return
-	case "/v1/order":
+	case names.Order:
 		w.order(connection, body)
 		return
 	}
@@ -104,9 +104,9 @@
 
 // stream writes the events after Last-Event-Id.
 func (w *worker) stream(connection net.Conn, request *http.Request, id string) {
-	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	last, _ := strconv.Atoi(request.Header.Get(names.LastEvent))
 	w.print("run %s after %d", id, last)
-	if w.isFatal(request.Header.Get("Prompt-Prefix")) {
+	if w.isFatal(request.Header.Get(names.Parts)) {
 		time.Sleep(w.gap)
 		w.print("crash under %s", id)
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
