review: a server's own 503 after a run reaches the caller of an order as a promise

Tried: one of eight servers fails two of five orders with 503 after it has run them, without stating that they were not run. The caller gets 503, sends the order again, and it is carried out twice.

--- a/review/programs-2/cmd/worker/main.go
+++ b/review/programs-2/cmd/worker/main.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusdeck/platform/standin"
@@ -31,11 +33,21 @@
 	gap := flag.Duration("gap", 0, "time between two events, or before a body")
 	unframed := flag.Bool("unframed", false, "answers have no length and end with their connection")
 	size := flag.Int("size", 800, "bytes of a body")
+	failStatus := flag.Int("fail-status", 0, "status of the failures")
+	failCount := flag.Int("fail-count", 0, "number of requests that fail, after they have run, of each five")
 	flag.Parse()
 	worker := standin.NewWorker(*id, *service)
+	var runs atomic.Int64
 	worker.Script = func(out http.ResponseWriter, r *http.Request) {
 		run := standin.RunFromRequest(r)
 		report(bed.Event{Kind: "runs", ID: run.ID, Method: run.Method, URI: run.URI, Host: run.Host, Last: run.LastEventID, Detail: fmt.Sprintf("events=%d", *events)})
+		if number := int(runs.Add(1)-1) % 5; number < *failCount {
+			time.Sleep(*gap)
+			report(bed.Event{Kind: "failed", ID: run.ID, Detail: fmt.Sprintf("after its work, with status %d", *failStatus)})
+			out.WriteHeader(*failStatus)
+			_, _ = io.WriteString(out, "a later step of the work failed")
+			return
+		}
 		if *unframed {
 			standin.OmitLength(out)
 		}
