--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-program=$root/review/programs-2/bin/case-end-of-stream
+program=$root/review/programs-2/bin/case-part
 if [ ! -x "$program" ] || [ ! -x "$root/target/arbutus-entry" ]; then
   echo "not built" >&2
   exit 2
--- a/review/programs-2/bed/bed.go
+++ b/review/programs-2/bed/bed.go
@@ -276,9 +276,10 @@
 	return fmt.Errorf("entry %s is not ready", e.settings)
 }
 
-// Event is a line that a worker process reports.
+// Event is a line that a worker process reports. At is the time at which it was read.
 type Event struct {
 	Kind, ID, URI, Host, Method, Last, Detail string
+	At                                        time.Time
 }
 
 // Worker is a running stand-in of a backend server in a process of its own.
@@ -328,6 +329,7 @@
 			if json.Unmarshal(lines.Bytes(), &e) != nil {
 				continue
 			}
+			e.At = time.Now()
 			b.Note("worker %s: %s request=%s method=%s uri=%s host=%s lastEvent=%s %s", id, e.Kind, e.ID, e.Method, e.URI, e.Host, e.Last, e.Detail)
 			w.mu.Lock()
 			w.events = append(w.events, e)
--- a/review/programs-2/cmd/worker/main.go
+++ b/review/programs-2/cmd/worker/main.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"arbutusdeck/platform/standin"
@@ -31,10 +33,10 @@
 	service := flag.String("service", "", "service")
 	events := flag.Int("events", 0, "events of a stream; 0 answers with one body")
 	gap := flag.Duration("gap", 0, "time between two events, or before a body")
-	unframed := flag.Bool("unframed", false, "answers have no length and end with their connection")
 	size := flag.Int("size", 800, "bytes of a body")
 	failStatus := flag.Int("fail-status", 0, "status of the failures")
 	failCount := flag.Int("fail-count", 0, "number of requests that fail, after they have run, of each five")
+	fatalPart := flag.String("fatal-part", "", "part of prompts under which the process ends as it begins to write; empty for none")
 	flag.Parse()
 	worker := standin.NewWorker(*id, *service)
 	var runs atomic.Int64
@@ -48,8 +50,11 @@
 			_, _ = io.WriteString(out, "a later step of the work failed")
 			return
 		}
-		if *unframed {
-			standin.OmitLength(out)
+		if *fatalPart != "" && run.HasPromptPart(*fatalPart) {
+			time.Sleep(*gap)
+			report(bed.Event{Kind: "crashes", ID: run.ID})
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
 		}
 		if *events == 0 {
 			time.Sleep(*gap)
