--- a/review/programs-2/bed/bed.go
+++ b/review/programs-2/bed/bed.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -168,22 +169,28 @@
 	_ = b.record.Close()
 }
 
-// FreeAddress returns a loopback address with a port that is free.
-func FreeAddress() (string, error) {
-	for range 20 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddresses returns addresses of one loopback host that is drawn anew, whose ports are free for both
+// TCP and UDP. Outgoing connections have another host, so that none of them takes a port meanwhile.
+func freeAddresses(count int) ([]string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(254))
+	var addresses []string
+	for range 20 * count {
+		listener, err := net.Listen("tcp", host+":0")
 		if err != nil {
-			return "", err
+			return nil, err
 		}
+		defer listener.Close()
 		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = packets.Close()
-			return address, nil
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		if addresses = append(addresses, address); len(addresses) == count {
+			return addresses, nil
 		}
 	}
-	return "", fmt.Errorf("no port is free for both TCP and UDP")
+	return nil, fmt.Errorf("no ports are free for both TCP and UDP")
 }
 
 // Entry is a running entry.
@@ -197,13 +204,9 @@
 // StartEntry starts an entry with the command of the deploy file and settings as its template gives
 // them for a small deployment.
 func (b *Bed) StartEntry(name string, seeds ...string) (*Entry, error) {
-	var addresses [4]string
-	for i := range addresses {
-		address, err := FreeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = address
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
 	}
 	e := &Entry{Listen: addresses[0], Ready: addresses[1], Peer: addresses[2], settings: filepath.Join(b.folder, name+".yaml"), log: filepath.Join(b.folder, name+".log")}
 	if len(seeds) == 0 {
--- a/review/programs-2/cmd/case-part/main.go
+++ b/review/programs-2/cmd/case-part/main.go
@@ -18,7 +18,7 @@
 const (
 	workers = 10
 	// events and gap describe a stream.
-	events = "4"
+	events = "20"
 	gap    = "20ms"
 	// downtime is the time after which a crashed server is back, under another identifier; its row is
 	// removed after three heartbeats of 1.2 s.
@@ -134,10 +134,12 @@
 		d.bed.Store.Put(w.Row("ready"))
 		for !w.Wait(time.Second) {
 		}
-		time.AfterFunc(rowLifetime, func() { d.bed.Store.Remove(standin.RowKey(id)) })
-		if !d.ending.Load() {
-			time.Sleep(downtime)
+		if d.ending.Load() {
+			d.bed.Store.Remove(standin.RowKey(id))
+			return
 		}
+		time.AfterFunc(rowLifetime, func() { d.bed.Store.Remove(standin.RowKey(id)) })
+		time.Sleep(downtime)
 	}
 }
 
@@ -155,11 +157,17 @@
 	wait.Go(func() {
 		every(soundInterval, func(i int) {
 			id := fmt.Sprintf("sound-%s-%d", d.phase.part, i)
-			a := bed.Do(d.request(entries[i%len(entries)], id, false), nil)
+			request := d.request(entries[i%len(entries)], id, false)
+			if i%4 < 2 { // these can't be resumed at another server
+				request.URL.Path = "/once/x"
+			}
+			a := bed.Do(request, nil)
 			count.Add(1)
 			if a.Status == http.StatusOK && a.Complete {
 				whole.Add(1)
+				return
 			}
+			d.bed.Note("%s on %s isn't served: status %d, error %v, %.90s", id, request.URL.Path, a.Status, a.Err, a.Body)
 		})
 	})
 	wait.Go(func() {
