--- a/proof/processes/forward_test.go
+++ b/proof/processes/forward_test.go
@@ -35,6 +35,12 @@
 	// memoryMB is the memory limit of a process in MB; 0 for the usual 200. bodyBytes bounds the body
 	// of a request; 0 for the usual bound.
 	memoryMB, bodyBytes int64
+	// routeTimeout bounds a request; 0 for the usual bound.
+	routeTimeout time.Duration
+	// descriptors is the number of descriptors that a process may open; 0 for that of this process.
+	descriptors int
+	// stalledLog leaves the standard output of the processes, which holds their log, unread.
+	stalledLog bool
 }
 
 var usedForwardHosts atomic.Int32
@@ -54,6 +60,11 @@
 	if spec.bodyBytes > 0 {
 		configuration["Limits"].(map[string]any)["MaxBodyBytes"] = spec.bodyBytes
 	}
+	if spec.routeTimeout > 0 {
+		for _, route := range configuration["Routes"].([]map[string]any) {
+			route["TimeoutMs"] = spec.routeTimeout.Milliseconds()
+		}
+	}
 	f.store.Put("op/config", configuration)
 	for _, worker := range workers {
 		f.store.Put(worker.Row("ready"))
@@ -81,7 +92,21 @@
 	path := filepath.Join(f.folder, settings.Name+".yaml")
 	require.NoError(f.t, os.WriteFile(path, content, 0o600))
 	f.entries = append(f.entries, settings)
-	f.launch(settings.Name, []string{filepath.Join(binaries, "arbutus-entry"), "forward", "--settings", path})
+	command := []string{filepath.Join(binaries, "arbutus-entry"), "forward", "--settings", path}
+	if spec.descriptors > 0 {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, spec.descriptors)}, command...)
+	}
+	if !spec.stalledLog {
+		f.launch(settings.Name, command)
+		return
+	}
+	unread, log, err := os.Pipe()
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() {
+		_ = unread.Close()
+		_ = log.Close()
+	})
+	f.launchWithLog(settings.Name, command, log)
 }
 
 func (f *forwardTestbed) isReady(settings gateway.Settings) bool {
--- a/proof/processes/harness_test.go
+++ b/proof/processes/harness_test.go
@@ -95,11 +95,17 @@
 	s.launch(name, []string{filepath.Join(binaries, binary), "serve", "--settings", path})
 }
 
-func (s *testbed) launch(name string, command []string) {
+func (s *testbed) launch(name string, command []string) { s.launchWithLog(name, command, nil) }
+
+// launchWithLog starts a daemon whose standard output goes to log, or to the test's if log is nil.
+func (s *testbed) launchWithLog(name string, command []string, log io.Writer) {
 	d := &daemon{name: name, command: command, out: &bytes.Buffer{}, exited: make(chan struct{})}
 	d.cmd = exec.Command(command[0], command[1:]...)
 	d.cmd.Stderr = d.out
 	d.cmd.Stdout = d.out
+	if log != nil {
+		d.cmd.Stdout = log
+	}
 	require.NoError(s.t, d.cmd.Start())
 	go func() {
 		_ = d.cmd.Wait()
