Account for the memory of callers' connections and headers

What callers saw: 450 callers that sent 16 KB of very many short fields took 120 to 136 MB of 96: on a host of that size the process ends with all its requests. A request needed 8 KB for it if the fields followed on an earlier one.

Cause: a field of six bytes takes some hundreds once parsed, at the request and at its copy to a server, and nothing counted that. The limits of the code (64 KB, 10 s) stood in place of the configuration's.

All that a connection and its headers hold is reserved in one account of half of the memory, while the headers arrive: their text twice and 320 bytes a field, also for what net/http has read ahead into its buffer. Without room the idle and the unfinished are closed first, then the request gets 503. The number of fields has no limit of its own, so that a single legal request with thousands of them is served. MaxHeaderBytes (431) and HeaderTimeoutMs of the configuration hold, with 4 KB for the request line and a second for a segment that is sent again.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -10,10 +10,6 @@
 	"arbutusdeck/core/admission"
 )
 
-// bodyMemoryShare is the share of the process's memory for the bodies of open requests. A body is
-// kept until its request ends, since another attempt may need it.
-const bodyMemoryShare = 0.35
-
 // errBodiesFull is returned if the bodies of open requests leave no memory for another one.
 var errBodiesFull = errors.New("the bodies of open requests take all the memory that they may")
 
--- a/entry/gateway/callerlimits_test.go
+++ b/entry/gateway/callerlimits_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -60,3 +63,30 @@
 	smallest := divideDescriptors(4100)
 	require.Equal(t, descriptorShares{callers: 1560, servers: 1560, peers: 390, ready: 78, metrics: 39}, smallest)
 }
+
+// Guards against constants that stand above the limits of the configuration.
+func TestTheConfigurationLimitsHeaders(t *testing.T) {
+	const headerBytes, headerTimeoutMs = 100_000, 300
+	w := newTestbed(t)
+	w.configure(func(c map[string]any) {
+		c["Limits"].(map[string]any)["MaxHeaderBytes"] = headerBytes
+		c["Limits"].(map[string]any)["HeaderTimeoutMs"] = headerTimeoutMs
+	})
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	long := func(size int) int {
+		caller := dialEntry(t, s)
+		caller.write(requestHead("GET", "/read/x", testTimeout, "X-Long: "+strings.Repeat("x", size)+"\r\n"))
+		status, err := caller.readResponse()
+		require.NoError(t, err)
+		return status
+	}
+	require.Equal(t, http.StatusOK, long(headerBytes-300))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, long(headerBytes+requestLineBytes))
+	began := time.Now()
+	caller := dialEntry(t, s)
+	caller.write("GET /read/x HTTP/1.1\r\n")
+	_, err := caller.readResponse()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Less(t, time.Since(began), defaultHeaderTimeout, "the timeout of the configuration holds")
+}
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -55,14 +55,34 @@
 	return int(limit.Cur)
 }
 
+// Shares of the process's memory for what callers cause. The rest of the heap is for the views of servers and other
+// entries, and for garbage.
+const (
+	// callerMemoryShare is for the connections and requests of callers.
+	callerMemoryShare = 0.5
+	// bodyMemoryShare is the part of it for large bodies. A body is kept until its request ends, since another attempt
+	// may need it.
+	bodyMemoryShare = 0.35
+	// smallListenerShare is for the connections of the ready address, and again for those of the metrics address.
+	smallListenerShare = 0.02
+)
+
+// memory returns a share of the process's memory, in bytes.
+func (s *Settings) memory(share float64) int64 { return int64(float64(s.MemoryMB<<20) * share) }
+
 // callerLimits returns the limits of the listener for callers.
 func (s *Settings) callerLimits() callers.Limits {
-	return callers.Limits{Connections: divideDescriptors(s.maxDescriptors()).callers, Memory: math.MaxInt64, LargeBodies: math.MaxInt64}
+	return callers.Limits{Connections: divideDescriptors(s.maxDescriptors()).callers, Memory: s.memory(callerMemoryShare),
+		LargeBodies: s.memory(bodyMemoryShare)}
 }
 
-// smallListenerLimits returns the limits of a listener for requests without bodies.
-func smallListenerLimits(connections int) callers.Limits {
-	return callers.Limits{Connections: connections, Memory: math.MaxInt64, LargeBodies: math.MaxInt64}
+// otherLimits returns the limits of another listener, without one of memory if share is 0.
+func (s *Settings) otherLimits(connections int, share float64) callers.Limits {
+	limits := callers.Limits{Connections: connections, Memory: math.MaxInt64, LargeBodies: math.MaxInt64}
+	if share > 0 {
+		limits.Memory = max(s.memory(share), minReadyConnections*(callers.ConnectionBytes+callers.RequestBytes))
+	}
+	return limits
 }
 
 // newCallerListener returns the listener for callers, which doesn't accept yet.
@@ -117,15 +137,15 @@
 	smallRequestTimeout = 5 * time.Second
 )
 
-// serveOther starts an HTTP server at an address with a number of connections of its own. A timeout, if not 0, bounds
-// the reading of each request and the writing of its response.
-func (s *Server) serveOther(t *tomb.Tomb, address string, handler http.Handler, connections int, timeout time.Duration) error {
+// serveOther starts an HTTP server at an address, with connections of its own. A timeout, if not 0, bounds the reading
+// of each request and the writing of its response.
+func (s *Server) serveOther(t *tomb.Tomb, address string, handler http.Handler, limits callers.Limits, timeout time.Duration) error {
 	listener, err := process.Listen(address)
 	if err != nil {
 		return err
 	}
 	unavailable := closingResponse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeMemoryFull, Detail: "too many requests at once", RetryAfter: time.Second})
-	limited := callers.NewListener(callers.Options{Limits: smallListenerLimits(connections), HeaderBytes: func() int { return otherHeaderBytes },
+	limited := callers.NewListener(callers.Options{Limits: limits, HeaderBytes: func() int { return otherHeaderBytes },
 		TooLarge: closingResponse(http.StatusRequestHeaderFieldsTooLarge, execution.Refusal{Code: CodeHeadersTooLarge}), Unavailable: unavailable}).Listen(listener)
 	server := limited.Server(handler)
 	server.ReadTimeout, server.WriteTimeout = timeout, timeout
@@ -136,7 +156,7 @@
 
 // expireConnections closes the connections that have been idle, or have been receiving headers, for too long.
 func (s *Server) expireConnections(now time.Time) {
-	s.callers.Expire(now, callers.Timeouts{Headers: headerTimeout, Idle: s.idleTimeout()})
+	s.callers.Expire(now, callers.Timeouts{Headers: s.headerTimeout(), Idle: s.idleTimeout()})
 	for _, other := range s.others {
 		other.Expire(now, other.timeouts)
 	}
@@ -154,7 +174,20 @@
 }
 
 // headerLimit returns the limit of the request line and headers of a request, in bytes.
-func (s *Server) headerLimit() int { return defaultHeaderBytes }
+func (s *Server) headerLimit() int {
+	if table := s.table.Load(); table != nil && table.Limits().HeaderBytes > 0 {
+		return table.Limits().HeaderBytes + requestLineBytes
+	}
+	return defaultHeaderBytes
+}
+
+// headerTimeout returns the time in which a caller has to send the headers of a request.
+func (s *Server) headerTimeout() time.Duration {
+	if table := s.table.Load(); table != nil && table.Limits().HeaderTimeout > 0 {
+		return table.Limits().HeaderTimeout + headerTimeoutSlack
+	}
+	return defaultHeaderTimeout
+}
 
 func (s *Server) idleTimeout() time.Duration {
 	if table := s.table.Load(); table != nil && table.Limits().IdleTimeout > 0 {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -273,13 +273,13 @@
 		return err
 	}
 	shares := divideDescriptors(s.settings.maxDescriptors())
-	if err := s.serveOther(t, s.settings.ReadyAddress, s.readyRouter(), shares.ready, smallRequestTimeout); err != nil {
+	if err := s.serveOther(t, s.settings.ReadyAddress, s.readyRouter(), s.settings.otherLimits(shares.ready, smallListenerShare), smallRequestTimeout); err != nil {
 		return err
 	}
-	if err := s.serveOther(t, s.settings.MetricsAddress, s.metricsRouter(), shares.metrics, smallRequestTimeout); err != nil {
+	if err := s.serveOther(t, s.settings.MetricsAddress, s.metricsRouter(), s.settings.otherLimits(shares.metrics, smallListenerShare), smallRequestTimeout); err != nil {
 		return err
 	}
-	if err := s.serveOther(t, s.settings.PeerAddress, s.peers.Router(), shares.peers, 0); err != nil {
+	if err := s.serveOther(t, s.settings.PeerAddress, s.peers.Router(), s.settings.otherLimits(shares.peers, 0), 0); err != nil {
 		return err
 	}
 	if err := s.peers.Start(t); err != nil {
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -134,12 +134,15 @@
 	tickInterval = 250 * time.Millisecond
 	// pauseLimit is the gap between ticks that counts as a pause of the process.
 	pauseLimit = 1500 * time.Millisecond
-	// headerTimeout bounds the time to receive a caller's request headers.
-	headerTimeout = 10 * time.Second
-	// defaultHeaderBytes bounds the headers of a request, defaultIdleTimeout the time without one, while no
-	// configuration does.
-	defaultHeaderBytes = 64 << 10
-	defaultIdleTimeout = time.Minute
+	// defaultHeaderTimeout bounds the time to receive the headers of a request, defaultHeaderBytes their size, and
+	// defaultIdleTimeout the time without a request, while no configuration does.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	defaultIdleTimeout   = time.Minute
+	// headerTimeoutSlack is added to the configuration's limit for a segment that is sent again.
+	headerTimeoutSlack = time.Second
+	// requestLineBytes is added to the configuration's limit of the headers for the request line.
+	requestLineBytes = 4 << 10
 	// defaultBodyBytes bounds a request body while no configuration does.
 	defaultBodyBytes = 4 << 20
 	// maxBufferedResponse bounds a non-streaming response that is buffered until it is complete, so
--- a/proof/mutations/callers_mutations_test.go
+++ b/proof/mutations/callers_mutations_test.go
@@ -16,4 +16,6 @@
 	{"fields that are read ahead are charged", "core/callers/listener.go", "	c.headerBytes, c.headerFields, c.headerCost = 0, c.unparsedFields, 0\n", "	c.headerBytes, c.headerFields, c.headerCost = 0, 0, 0\n", callersPkg, "TestFieldsThatAreReadAheadAreCharged"},
 	{"a request that was read ahead is not idle", "core/callers/listener.go", "	ok := l.table.Enter(now, c, phase)\n", "	ok := l.table.Phase(c) != Closed\n", callersPkg, "TestARequestThatWasReadAheadIsNotIdle"},
 	{"headers over the limit are refused", "core/callers/listener.go", "	if c.headerBytes > l.options.HeaderBytes() {\n", "	if false {\n", callersPkg, "TestLargeHeadersAreRefused"},
+	{"the configuration limits headers", "entry/gateway/connections.go", "		return table.Limits().HeaderBytes + requestLineBytes\n", "		return defaultHeaderBytes\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
+	{"the configuration limits the time for headers", "entry/gateway/connections.go", "		return table.Limits().HeaderTimeout + headerTimeoutSlack\n", "		return time.Hour\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
 }
