Refuse the slowest large body for another one

What callers saw: beside a crowd whose bodies stop short of their end, no prompt of 200 KB was answered for 30 s, nor would it have been until the crowd's time had passed: all got 503.

Cause: what a body has reserved it kept until its route's time was over, whether or not anything arrived. The buffer of a body of unknown length grew beyond what was reserved for it.

Bodies are part of the account of callers. Those over 64 KB have a limit of their own in it (0.35 of the memory, as before), so that small ones find room beside them. For a body without room the slowest one that has been arriving for a second is refused: 503 with Retry-After, not run, at once, and its connection is closed. A request whose connection was closed so does not run, as phase and decision share a lock. Buffers of unknown length are reserved before they grow; trailers, which nobody uses, are dropped.

The tests of the byte budget ask the account now (LargeBodies for Reserved), with the same bounds.

--- a/core/callers/listener.go
+++ b/core/callers/listener.go
@@ -129,6 +129,9 @@
 	l.stats.Shed += int64(len(shed))
 	l.mu.Unlock()
 	for _, c := range shed {
+		if c.isUnanswered() {
+			c.answer(l.options.Unavailable)
+		}
 		closeQuietly(c.Conn)
 	}
 }
@@ -211,6 +214,8 @@
 	// for them.
 	headerBytes, headerFields int
 	headerCost                int64
+	// unanswered is set while the body of a request is received and nothing of its response has been written.
+	unanswered bool
 	// unparsedFields bounds the fields that net/http may have in its buffer beyond the current headers.
 	unparsedFields int
 }
@@ -359,6 +364,7 @@
 	l.mu.Lock()
 	now := time.Now()
 	ok := l.table.Enter(now, c, phase)
+	c.unanswered = phase == Body
 	if !ok {
 		l.mu.Unlock()
 		return false
@@ -405,15 +411,23 @@
 
 // BodyReceived ends the receipt of a body. It returns false if the connection was closed for another one: the request
 // must not run.
-func (c *Conn) BodyReceived() bool { return c.enter(Answering) }
-
-func (c *Conn) enter(phase Phase) bool {
+func (c *Conn) BodyReceived() bool {
 	if c == nil {
 		return true
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.listener.table.Enter(time.Now(), c, phase)
+	if !c.listener.table.Enter(time.Now(), c, Answering) {
+		return false
+	}
+	c.unanswered = false
+	return true
+}
+
+func (c *Conn) isUnanswered() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.unanswered
 }
 
 // IsClosed reports whether the limits have closed the connection.
@@ -479,6 +493,7 @@
 func (c *Conn) change(from, to Phase) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	c.unanswered = false
 	if c.listener.table.Phase(c) == from {
 		c.listener.table.Enter(time.Now(), c, to)
 	}
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -6,58 +6,54 @@
 	"io"
 	"net/http"
 	"time"
-
-	"arbutusdeck/core/admission"
 )
 
-// errBodiesFull is returned if the bodies of open requests leave no memory for another one.
-var errBodiesFull = errors.New("the bodies of open requests take all the memory that they may")
-
-// bodyBuffer reads a request body and accounts for its memory.
-type bodyBuffer struct {
-	budget   *admission.ByteBudget
-	reserved int64
-}
+// errMemoryFull is returned if the requests of callers leave no memory for a body.
+var errMemoryFull = errors.New("the bodies of open requests take all the memory that they may")
 
-// bodyChunkBytes is reserved at a time for a body of unknown length.
+// bodyChunkBytes is the first size of the buffer for data of unknown length.
 const bodyChunkBytes = 64 << 10
 
-// read reads a whole body; a negative length means unknown. It returns errBodiesFull if the memory
-// budget is exhausted.
-func (b *bodyBuffer) read(in io.Reader, length int64) ([]byte, error) {
+// readGrowing reads data of at most a number of bytes to its end. Its buffer has the given length, or grows if the
+// length is unknown (negative). reserve is called before the buffer grows from one size to another; if it reports
+// false, the data so far is returned with errMemoryFull.
+func readGrowing(in io.Reader, length, most int64, reserve func(from, to int64) bool) ([]byte, error) {
 	if length >= 0 {
-		if !b.reserve(length) {
-			return nil, errBodiesFull
+		if !reserve(0, length) {
+			return nil, errMemoryFull
 		}
-		body := make([]byte, length)
-		_, err := io.ReadFull(in, body)
-		return body, err
+		data := make([]byte, length)
+		n, err := io.ReadFull(in, data)
+		return data[:n], err
 	}
-	var body []byte
+	var data []byte
 	for {
-		if !b.reserve(bodyChunkBytes) {
-			return nil, errBodiesFull
+		if len(data) == cap(data) {
+			size := grownSize(int64(cap(data)), most+1)
+			if !reserve(int64(cap(data)), size) {
+				return data, errMemoryFull
+			}
+			data = append(make([]byte, 0, size), data...)
 		}
-		chunk, err := io.ReadAll(io.LimitReader(in, bodyChunkBytes))
-		body = append(body, chunk...)
-		if err != nil || len(chunk) < bodyChunkBytes {
-			return body, err
+		n, err := in.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil || int64(len(data)) > most {
+			return data, err
 		}
 	}
 }
 
-func (b *bodyBuffer) reserve(count int64) bool {
-	if !b.budget.Reserve(count) {
-		return false
+// grownSize returns the size of a buffer after it was full at the given size: the double, or all that is allowed if
+// that is less than the next size.
+func grownSize(size, most int64) int64 {
+	size = max(2*size, bodyChunkBytes)
+	if 2*size > most {
+		return most
 	}
-	b.reserved += count
-	return true
-}
-
-// release returns the memory of the body to the budget.
-func (b *bodyBuffer) release() {
-	b.budget.Release(b.reserved)
-	b.reserved = 0
+	return size
 }
 
 // bodyLimit returns the longest body that a caller may send, in bytes.
--- a/entry/gateway/body_test.go
+++ b/entry/gateway/body_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -104,7 +105,7 @@
 			}
 			refused := func() int { return len(replies) }
 			w.eventually("the others are refused", func() bool { return refused()+len(worker.Runs()) == callers })
-			require.LessOrEqual(t, s.bodies.Reserved(), limit)
+			require.LessOrEqual(t, s.callers.Usage().LargeBodies, limit)
 			for range refused() {
 				r := <-replies
 				require.Equal(t, http.StatusServiceUnavailable, r.status, r.body)
@@ -118,7 +119,7 @@
 			for range len(worker.Runs()) {
 				require.Equal(t, 200, (<-replies).status)
 			}
-			w.eventually("all memory is released", func() bool { return s.bodies.Reserved() == 0 })
+			w.eventually("all memory is released", func() bool { return s.callers.Usage().LargeBodies == 0 })
 		})
 	}
 }
@@ -181,7 +182,30 @@
 	require.NoError(t, err)
 	require.Equal(t, "HTTP/1.1 503", string(answer))
 	require.Less(t, time.Since(began), discardTime, "the answer comes at once")
-	require.Zero(t, s.bodies.Reserved())
+	require.Zero(t, s.callers.Usage().LargeBodies)
 	w.eventually("the request ends", func() bool { return s.manager.Open() == 0 })
 	require.Less(t, time.Since(began), discardTime+time.Second)
 }
+
+// Guards against a body that was cut off and runs as if it were whole, and against a buffer beyond the limit of bodies.
+func TestABodyOfUnknownLengthIsReadToItsEnd(t *testing.T) {
+	const most = 4 << 20
+	for _, size := range []int{0, 1, bodyChunkBytes, bodyChunkBytes + 1, 1 << 20, most - 1, most} {
+		reserved := int64(0)
+		reserve := func(from, to int64) bool {
+			require.Equal(t, reserved, from)
+			reserved = to
+			return true
+		}
+		text := strings.Repeat("x", size)
+		data, err := readGrowing(strings.NewReader(text), -1, most, reserve)
+		require.NoError(t, err)
+		require.Equal(t, size, len(data))
+		require.LessOrEqual(t, int64(len(data)), reserved)
+		require.LessOrEqual(t, reserved, int64(max(bodyChunkBytes, min(4*size, most+1))))
+		_, err = readGrowing(io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, most, func(int64, int64) bool { return true })
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+	_, err := readGrowing(strings.NewReader("x"), -1, most, func(int64, int64) bool { return false })
+	require.ErrorIs(t, err, errMemoryFull)
+}
--- a/entry/gateway/callerlimits_test.go
+++ b/entry/gateway/callerlimits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -90,3 +91,33 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.Less(t, time.Since(began), defaultHeaderTimeout, "the timeout of the configuration holds")
 }
+
+// Guards against bodies that stop short of their end and keep the memory from others: the slowest is refused, as not
+// run, for a body that has no room.
+func TestASlowBodyIsRefusedForAnother(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(func(c map[string]any) { c["Limits"].(map[string]any)["MaxBodyBytes"] = 4 << 20 })
+	worker := w.worker("i-1", "plain", nil)
+	settings := w.newSettings()
+	settings.MemoryMB = 16
+	s := w.start(settings)
+	w.eventually("the entry is ready", func() bool { return w.isCurrent(s) })
+	slow := dialEntry(t, s)
+	slow.write(requestHead("POST", "/order/x", testTimeout, "Content-Length: 4194304\r\n") + "begin")
+	w.eventually("the slow body has its memory", func() bool { return s.callers.Usage().LargeBodies == 4<<20 })
+	body := strings.Repeat("x", 3<<20)
+	w.eventually("another body is served", func() bool {
+		return call(standin.NewRequest(s.settings.ListenAddress, http.MethodPost, "/order/x", "other", 0, body)).status == http.StatusOK
+	})
+	response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(text), `"run":"notRun"`)
+	for _, run := range worker.Runs() {
+		require.Equal(t, "other", run.ID)
+	}
+}
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/routes"
@@ -42,10 +43,11 @@
 	route   *routes.Route
 	service *routes.Service
 	// workspace is empty on a public route.
-	workspace  string
-	priority   int
-	body       []byte
-	bodyBuffer bodyBuffer
+	workspace string
+	priority  int
+	body      []byte
+	// connection is the caller's; it accounts for the memory of the request.
+	connection *callers.Conn
 	// bodyEnded is set once no more of the body can be read.
 	bodyEnded bool
 	deadline  time.Time
@@ -86,8 +88,7 @@
 // serveRequest processes one request until its final response.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	e := &exchange{s: s, w: w, r: r, info: platform.ParseRequest(r.Header), arrived: now, bodyBuffer: bodyBuffer{budget: &s.bodies}}
-	defer e.bodyBuffer.release()
+	e := &exchange{s: s, w: w, r: r, info: platform.ParseRequest(r.Header), arrived: now, connection: callers.ConnOf(r)}
 	s.counters.requests.Inc(1)
 	s.manager.Join()
 	defer s.manager.End()
@@ -167,18 +168,22 @@
 	}
 	e.setIODeadlines()
 	stop := e.endReadOnAbort()
-	body, err := e.bodyBuffer.read(http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength)
+	body, err := readGrowing(http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength, limit, e.connection.ReserveBody)
 	stop()
 	var tooLarge *http.MaxBytesError
-	e.bodyEnded = !errors.As(err, &tooLarge) && !errors.Is(err, errBodiesFull)
+	e.bodyEnded = !errors.As(err, &tooLarge) && !errors.Is(err, errMemoryFull)
 	switch {
+	case e.connection.IsClosed() || err == nil && !e.connection.BodyReceived():
+		// The connection has the response already.
+		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeMemoryFull, Detail: "the body came slowly and its connection was closed for another request"})
+		return false
 	case err != nil && e.s.manager.Aborting().Err() != nil:
 		e.refuse(http.StatusServiceUnavailable, e.shutdownRefusal())
 		return false
 	case tooLarge != nil:
 		e.refuseTooLarge()
 		return false
-	case errors.Is(err, errBodiesFull):
+	case errors.Is(err, errMemoryFull):
 		e.refuse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeBodiesFull, Detail: err.Error(), RetryAfter: bodiesRetryAfter})
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -189,7 +194,7 @@
 		return false
 	}
 	e.clearReadDeadline()
-	e.body = body
+	e.body, e.r.Trailer = body, nil
 	return true
 }
 
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -18,7 +18,6 @@
 	"gopkg.in/tomb.v2"
 
 	"arbutusdeck/core/admin"
-	"arbutusdeck/core/admission"
 	"arbutusdeck/core/audit"
 	"arbutusdeck/core/callers"
 	"arbutusdeck/core/claims"
@@ -72,12 +71,10 @@
 	others  []otherListener
 	// loggedStats are the statistics of callers that were logged last; used by the tick loop only.
 	loggedStats callers.Stats
-	// bodies is the memory budget of the bodies of open requests.
-	bodies admission.ByteBudget
-	open   openSet[*exchange]
-	peers  *peerlink.Link
-	reader *storeread.Reader
-	tomb   *tomb.Tomb
+	open        openSet[*exchange]
+	peers       *peerlink.Link
+	reader      *storeread.Reader
+	tomb        *tomb.Tomb
 	// spiller decides on placements in other zones; nil if overload.spillover is off.
 	spiller *spiller
 	// loadedSettings are the settings as last read; used by the settings loop only.
@@ -255,7 +252,6 @@
 
 func (s *Server) applyRuntime(settings Settings) {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * heapMemoryShare))
-	s.bodies.SetLimit(int64(float64(settings.MemoryMB<<20) * bodyMemoryShare))
 	s.callers.SetLimits(settings.callerLimits())
 	runtime.GOMAXPROCS(settings.Processors)
 }
--- a/proof/mutations/callers_mutations_test.go
+++ b/proof/mutations/callers_mutations_test.go
@@ -18,4 +18,5 @@
 	{"headers over the limit are refused", "core/callers/listener.go", "	if c.headerBytes > l.options.HeaderBytes() {\n", "	if false {\n", callersPkg, "TestLargeHeadersAreRefused"},
 	{"the configuration limits headers", "entry/gateway/connections.go", "		return table.Limits().HeaderBytes + requestLineBytes\n", "		return defaultHeaderBytes\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
 	{"the configuration limits the time for headers", "entry/gateway/connections.go", "		return table.Limits().HeaderTimeout + headerTimeoutSlack\n", "		return time.Hour\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
+	{"a slow body is answered when its connection is closed", "core/callers/listener.go", "			c.answer(l.options.Unavailable)\n", "", gatewayPkg, "TestASlowBodyIsRefusedForAnother"},
 }
--- a/proof/mutations/evacuation_mutations_test.go
+++ b/proof/mutations/evacuation_mutations_test.go
@@ -25,8 +25,8 @@
 var memoryMutations = []mutation{
 	{"a caller that does not read is disconnected", "entry/gateway/body.go", "	e.setDeadline((*http.ResponseController).SetWriteDeadline, e.deadline.Add(responseWriteSlack))\n", "", gatewayPkg, "TestACallerThatDoesNotRead"},
 	{"a caller that sends slowly is disconnected", "entry/gateway/body.go", "	e.setDeadline((*http.ResponseController).SetReadDeadline, e.deadline)\n", "", gatewayPkg, "TestASlowRequestBodyEndsAtTheDeadline"},
-	{"the total size of bodies is bounded", "core/admission/bytes.go", "	if b.reserved+count > b.limit {\n", "	if false {\n", gatewayPkg, "TestRequestBodiesStayWithinTheMemoryLimit"},
+	{"the total size of bodies is bounded", "core/callers/table.go", "		missing.largeBodies = t.largeBodies + largeBody - t.limits.LargeBodies\n", "", gatewayPkg, "TestRequestBodiesStayWithinTheMemoryLimit"},
 	{"a refused caller that is still sending gets its answer", "entry/gateway/responses.go", "		e.discardBody()\n", "", gatewayPkg, "TestACallerThatIsStillSending"},
 	{"the rest of a refused body is read for a limited time", "entry/gateway/body.go", "		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))\n", "		_ = refusedAt\n", gatewayPkg, "TestTheRestOfARefusedBody"},
-	{"the memory of a body is released", "entry/gateway/handler.go", "	defer e.bodyBuffer.release()\n", "", gatewayPkg, "TestRequestBodiesStayWithinTheMemoryLimit"},
+	{"the memory of a body is released", "core/callers/table.go", "		t.hold(e, ConnectionBytes-e.held, -e.largeBody)\n", "", callersPkg, "TestMemoryIsReservedAndGivenBack"},
 }
