Bound each read and write of a refused request

What callers saw: nothing, but their connections stayed forever: refused requests (no route, no key, too large) whose callers stop sending or reading held a goroutine and a descriptor without an end.

Cause: a refused request had no write deadline before its route was known, so that requests sent ahead without reading blocked in a write. net/http reads up to 256 KB of an unread body before it writes the headers and after the handler, under the read deadline that is set, and there was none: before the headers of a 404, for a caller that expects to be asked for its body (Expect), and behind a body over the limit. OPTIONS * was answered by net/http itself, which waits for its body without one.

Now the write deadline is set as the request begins, the read deadline before a refusal is written while the body is unread; it is taken back only at the end of the body, and OPTIONS * goes the way of all requests.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -75,11 +75,13 @@
 // nothing of it. If the connection were closed before, it would be reset, and a caller that is still
 // sending would lose the response.
 func (e *exchange) discardBody() {
+	refusedAt := time.Now()
 	if e.r.Header.Get("Expect") != "" {
-		return // the caller sends no body after a refusal
+		// The caller sends no body after a refusal, but net/http reads a part of what is stated to come.
+		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))
+		return
 	}
 	defer e.endReadOnAbort()()
-	refusedAt := time.Now()
 	for left := e.bodyLimit(); left > 0; left -= discardBytes {
 		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))
 		if e.s.manager.Aborting().Err() != nil {
@@ -87,14 +89,14 @@
 		}
 		_, err := io.CopyN(io.Discard, e.r.Body, min(left, discardBytes))
 		if errors.Is(err, io.EOF) {
-			break
+			e.clearReadDeadline()
+			return
 		}
 		if err != nil {
 			e.s.log.WithError(err).WithField("request", e.info.ID).Debug("reading the rest of a refused request failed")
 			return
 		}
 	}
-	e.clearReadDeadline()
 }
 
 // discardDeadline returns the time by which the next part of a refused body has to arrive. A request
@@ -114,6 +116,9 @@
 // is written to the caller.
 const responseWriteSlack = 200 * time.Millisecond
 
+// refusalWriteTimeout bounds the writing of the response to a request that is refused before its deadline is known.
+const refusalWriteTimeout = 5 * time.Second
+
 // setIODeadlines bounds the time to read the body and to write the response. A caller that stops
 // sending or reading would otherwise hold its request and its memory indefinitely.
 func (e *exchange) setIODeadlines() {
--- a/entry/gateway/callerlimits_test.go
+++ b/entry/gateway/callerlimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -121,3 +122,54 @@
 		require.Equal(t, "other", run.ID)
 	}
 }
+
+// unroutedHead returns the headers of a request without a route, except for the blank line at their end.
+func unroutedHead(method, more string) string {
+	return fmt.Sprintf("%s /none/x HTTP/1.1\r\nHost: press.example\r\n%s", method, more)
+}
+
+// Guards against refused requests whose callers hold a connection forever: each one here stops sending or reading.
+func TestARefusedCallerThatStopsIsDisconnected(t *testing.T) {
+	for name, request := range map[string]string{
+		"expects to be asked for its body": unroutedHead("POST", "Content-Length: 100\r\nExpect: 100-continue\r\n\r\n"),
+		"body over the limit":              requestHead("POST", "/read/x", time.Second, "Content-Length: 1000000\r\n") + strings.Repeat("x", 5000),
+		"chunks over the limit":            requestHead("POST", "/read/x", time.Second, "Transfer-Encoding: chunked\r\n") + strings.Repeat("400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", 9),
+		"body that stops short":            unroutedHead("POST", "Content-Length: 100\r\n\r\n"),
+		"chunks that stop short":           unroutedHead("POST", "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n"),
+		"options for the whole server":     "OPTIONS * HTTP/1.1\r\nHost: press.example\r\nContent-Length: 100\r\n\r\n",
+		"does not read":                    strings.Repeat(unroutedHead("GET", "\r\n"), 10_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestbed(t)
+			w.configure(nil)
+			w.worker("i-1", "plain", nil)
+			s := w.serve()
+			connection, err := net.Dial("tcp", s.settings.ListenAddress)
+			require.NoError(t, err)
+			defer connection.Close()
+			require.NoError(t, connection.(*net.TCPConn).SetReadBuffer(4096))
+			go func() { _, _ = io.WriteString(connection, request) }()
+			w.eventually("the request is read", func() bool { return s.counters.refused.Count() > 0 })
+			w.eventually("its connection is closed", func() bool { return s.callers.Usage().Connections == 0 })
+		})
+	}
+}
+
+// Guards against the rejection of requests on a kept connection whose earlier request had a deadline that has passed.
+func TestAKeptConnectionIsAnsweredAfterAnEarlierDeadline(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(nil)
+	w.worker("i-1", "plain", nil)
+	s := w.serve()
+	caller := dialEntry(t, s)
+	const callerTime = 300 * time.Millisecond
+	caller.write(requestHead("GET", "/read/x", callerTime, ""))
+	status, err := caller.readResponse()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(callerTime + deadlineSlack + 2*responseWriteSlack)
+	caller.write(unroutedHead("GET", "\r\n"))
+	status, err = caller.readResponse()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, status)
+}
--- a/entry/gateway/responses.go
+++ b/entry/gateway/responses.go
@@ -78,6 +78,10 @@
 	if c.Refusal.RetryAfter > 0 && c.Outcome == execution.NotRun {
 		platform.SetRetryAfter(h, c.Refusal.RetryAfter)
 	}
+	if !e.bodyEnded && e.r.ContentLength != 0 {
+		// net/http reads the rest of a short body before it writes the headers.
+		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(time.Now()))
+	}
 	if err := e.writeProblem(status, problem{Code: c.Refusal.Code, Detail: c.Refusal.Detail, Run: c.Outcome.String()}); err != nil {
 		e.s.log.WithError(err).WithField("request", e.info.ID).Debug("writing the response failed: the caller has disconnected")
 		return
--- a/proof/mutations/callers_mutations_test.go
+++ b/proof/mutations/callers_mutations_test.go
@@ -18,5 +18,8 @@
 	{"headers over the limit are refused", "core/callers/listener.go", "	if c.headerBytes > l.options.HeaderBytes() {\n", "	if false {\n", callersPkg, "TestLargeHeadersAreRefused"},
 	{"the configuration limits headers", "entry/gateway/connections.go", "		return table.Limits().HeaderBytes + requestLineBytes\n", "		return defaultHeaderBytes\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
 	{"the configuration limits the time for headers", "entry/gateway/connections.go", "		return table.Limits().HeaderTimeout + headerTimeoutSlack\n", "		return time.Hour\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
+	{"a refused caller that does not read is disconnected", "entry/gateway/handler.go", "	e.setDeadline((*http.ResponseController).SetWriteDeadline, now.Add(maxStartWait+refusalWriteTimeout))\n", "", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
+	{"a refused caller that expects to be asked is disconnected", "entry/gateway/body.go", "		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))\n		return\n", "		return\n", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
+	{"options for the whole server are refused as others", "core/callers/listener.go", "		DisableGeneralOptionsHandler: true}\n", "	}\n", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
 	{"a slow body is answered when its connection is closed", "core/callers/listener.go", "			c.answer(l.options.Unavailable)\n", "", gatewayPkg, "TestASlowBodyIsRefusedForAnother"},
 }
