Set the size of the kernel's buffers of callers' connections

What callers saw: 450 callers that send ahead without reading, or bodies far over the limit, made the kernel hold 31 to 525 MB for the entry beside its own memory, on a host of 96.

Cause: the kernel grows the buffers of a connection to megabytes for a peer that sends or a process that doesn't read, and what is received and not yet read counts toward the memory of the machine.

The listeners for callers, the ready and the metrics address set 16 KB to receive and 32 KB to send; the kernel takes twice that, and so much is in the account of each connection and request. While a body over 64 KB arrives, its connection may receive 128 KB at a time, as long as half of the account is free, so that distant callers of large prompts are not slowed in calm. The peer address keeps the kernel's sizes.

--- a/core/callers/listener.go
+++ b/core/callers/listener.go
@@ -214,6 +214,8 @@
 	// for them.
 	headerBytes, headerFields int
 	headerCost                int64
+	// wide is set while the receive buffer is enlarged.
+	wide bool
 	// unanswered is set while the body of a request is received and nothing of its response has been written.
 	unanswered bool
 	// unparsedFields bounds the fields that net/http may have in its buffer beyond the current headers.
@@ -398,12 +400,17 @@
 	now := time.Now()
 	var shed []*Conn
 	ok := l.table.Enter(now, c, Idle)
+	narrow := c.wide
+	c.wide = false
 	c.headerBytes, c.headerFields, c.headerCost = 0, c.unparsedFields, 0
 	if ok && c.headerFields > 0 {
 		shed, ok = c.setHeaderCost(now, HeaderCost(0, c.headerFields))
 	}
 	l.mu.Unlock()
 	l.shed(shed)
+	if narrow {
+		c.setReceiveBuffer(ReceiveBufferBytes)
+	}
 	if !ok {
 		closeQuietly(c.Conn)
 	}
@@ -443,9 +450,34 @@
 // ReserveBody sets memory aside for a body whose buffer grows from one size in bytes to another. It is given back when
 // the connection becomes idle or is closed.
 func (c *Conn) ReserveBody(from, to int64) bool {
+	if to > SmallBodyBytes {
+		c.widen()
+	}
 	return c.reserve(func(now time.Time) ([]*Conn, bool) { return c.listener.table.ReserveBody(now, c, from, to) })
 }
 
+// widen enlarges the receive buffer for a large body, if there is memory to spare.
+func (c *Conn) widen() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	widen := !c.wide && c.listener.table.ReserveSpare(c, 2*(wideBufferBytes-ReceiveBufferBytes))
+	c.wide = c.wide || widen
+	c.listener.mu.Unlock()
+	if widen {
+		c.setReceiveBuffer(wideBufferBytes)
+	}
+}
+
+// setReceiveBuffer changes the size of the kernel's receive buffer. If that fails the buffer keeps its size, which only
+// makes the transfer slower.
+func (c *Conn) setReceiveBuffer(size int) {
+	if socket, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = socket.SetReadBuffer(size)
+	}
+}
+
 // Reserve sets memory aside for the request, in bytes, until Release.
 func (c *Conn) Reserve(count int64) bool {
 	return c.reserve(func(now time.Time) ([]*Conn, bool) { return c.listener.table.Reserve(now, c, count) })
--- a/core/callers/table.go
+++ b/core/callers/table.go
@@ -47,13 +47,18 @@
 
 // Memory of a connection in bytes.
 const (
-	// ConnectionBytes is held by every connection: 32 KB that the kernel keeps of what was received, the same for what
-	// is to be sent, the stack of a goroutine and the two buffers of net/http.
-	ConnectionBytes = 2*SocketBufferBytes + 16<<10
-	// RequestBytes is held besides by a request: the connection to a server with two goroutines and their buffers.
-	RequestBytes = 32 << 10
-	// SocketBufferBytes is the size of the kernel's receive buffer and send buffer of a connection.
-	SocketBufferBytes = 32 << 10
+	// ReceiveBufferBytes and SendBufferBytes are the sizes of the kernel's buffers of a connection. With its own data
+	// the kernel takes twice as much.
+	ReceiveBufferBytes = 16 << 10
+	SendBufferBytes    = 32 << 10
+	// wideBufferBytes is the size of the receive buffer while a large body arrives.
+	wideBufferBytes = 128 << 10
+	// ConnectionBytes is held by every connection: the receive buffer, the stack of a goroutine and the two buffers of
+	// net/http.
+	ConnectionBytes = 2*ReceiveBufferBytes + 16<<10
+	// RequestBytes is held besides by a request: the send buffer, and the connection to a server with two goroutines
+	// and their buffers.
+	RequestBytes = 2*SendBufferBytes + 32<<10
 	// fieldBytes is held by a parsed header field besides its text, by the request and its copy to a server: an entry
 	// of a map with its key, and a slice of one value.
 	fieldBytes = 320
@@ -188,6 +193,16 @@
 	return shed, ok
 }
 
+// ReserveSpare sets memory aside that a request can do without: only while half of all memory is free.
+func (t *Table[K]) ReserveSpare(key K, bytes int64) bool {
+	e := t.entries[key]
+	if e == nil || t.memory+bytes > t.limits.Memory/2 {
+		return false
+	}
+	t.hold(e, bytes, 0)
+	return true
+}
+
 // Release gives back memory that Reserve has set aside.
 func (t *Table[K]) Release(key K, bytes int64) {
 	if e := t.entries[key]; e != nil {
--- a/core/netopts/netopts.go
+++ b/core/netopts/netopts.go
@@ -5,6 +5,7 @@
 package netopts
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -41,3 +42,17 @@
 		return optionErr
 	}
 }
+
+// CallerControl returns a function that sets UserTimeout on a listening socket, and the sizes in bytes of the kernel's
+// receive buffer and send buffer of each connection that it accepts. Without them a caller decides how much the kernel
+// holds for its connection, up to megabytes.
+func CallerControl(receiveBytes, sendBytes int) func(network, address string, connection syscall.RawConn) error {
+	return func(network, address string, connection syscall.RawConn) error {
+		var optionErr error
+		err := connection.Control(func(fd uintptr) {
+			optionErr = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes))
+		})
+		return errors.Join(err, optionErr, Control(network, address, connection))
+	}
+}
--- a/core/process/run.go
+++ b/core/process/run.go
@@ -13,6 +13,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/netopts"
 )
@@ -34,8 +35,15 @@
 
 // Listen opens a TCP listener with the socket options of package netopts. The error
 // wraps ErrAddressInUse if another process listens on the address.
-func Listen(address string) (net.Listener, error) {
-	options := net.ListenConfig{KeepAliveConfig: netopts.KeepAlive, Control: netopts.Control}
+func Listen(address string) (net.Listener, error) { return listen(address, netopts.Control) }
+
+// ListenForCallers opens a TCP listener as Listen does, whose connections have the kernel buffers of package callers.
+func ListenForCallers(address string) (net.Listener, error) {
+	return listen(address, netopts.CallerControl(callers.ReceiveBufferBytes, callers.SendBufferBytes))
+}
+
+func listen(address string, control func(network, address string, connection syscall.RawConn) error) (net.Listener, error) {
+	options := net.ListenConfig{KeepAliveConfig: netopts.KeepAlive, Control: control}
 	listener, err := options.Listen(context.Background(), "tcp", address)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, fmt.Errorf("%w: %s: %v", ErrAddressInUse, address, err)
--- a/entry/gateway/connections.go
+++ b/entry/gateway/connections.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -113,7 +114,7 @@
 
 // serveCallers starts the HTTP server for callers.
 func (s *Server) serveCallers(t *tomb.Tomb) error {
-	listener, err := process.Listen(s.settings.ListenAddress)
+	listener, err := process.ListenForCallers(s.settings.ListenAddress)
 	if err != nil {
 		return err
 	}
@@ -137,23 +138,43 @@
 	smallRequestTimeout = 5 * time.Second
 )
 
-// serveOther starts an HTTP server at an address, with connections of its own. A timeout, if not 0, bounds the reading
-// of each request and the writing of its response.
-func (s *Server) serveOther(t *tomb.Tomb, address string, handler http.Handler, limits callers.Limits, timeout time.Duration) error {
-	listener, err := process.Listen(address)
+// otherServer describes an HTTP server for others than callers of requests.
+type otherServer struct {
+	address string
+	handler http.Handler
+	limits  callers.Limits
+	// timeout, if not 0, bounds the reading of each request and the writing of its response.
+	timeout time.Duration
+	// listen opens the listener.
+	listen func(address string) (net.Listener, error)
+}
+
+// serveOther starts an HTTP server whose connections are its own.
+func (s *Server) serveOther(t *tomb.Tomb, o otherServer) error {
+	listener, err := o.listen(o.address)
 	if err != nil {
 		return err
 	}
-	unavailable := closingResponse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeMemoryFull, Detail: "too many requests at once", RetryAfter: time.Second})
-	limited := callers.NewListener(callers.Options{Limits: limits, HeaderBytes: func() int { return otherHeaderBytes },
-		TooLarge: closingResponse(http.StatusRequestHeaderFieldsTooLarge, execution.Refusal{Code: CodeHeadersTooLarge}), Unavailable: unavailable}).Listen(listener)
-	server := limited.Server(handler)
-	server.ReadTimeout, server.WriteTimeout = timeout, timeout
-	process.Serve(t, limited, server)
+	limited := callers.NewListener(callers.Options{Limits: o.limits, HeaderBytes: func() int { return otherHeaderBytes },
+		TooLarge:    closingResponse(http.StatusRequestHeaderFieldsTooLarge, execution.Refusal{Code: CodeHeadersTooLarge, Detail: "the headers are too large"}),
+		Unavailable: closingResponse(http.StatusServiceUnavailable, execution.Refusal{Code: CodeMemoryFull, Detail: "too many requests at once", RetryAfter: time.Second})})
+	server := limited.Server(o.handler)
+	server.ReadTimeout, server.WriteTimeout = o.timeout, o.timeout
+	process.Serve(t, limited.Listen(listener), server)
 	s.others = append(s.others, otherListener{limited, callers.Timeouts{Headers: otherHeaderTimeout, Idle: otherIdleTimeout}})
 	return nil
 }
 
+// otherServers returns the servers at the addresses other than that for callers.
+func (s *Server) otherServers() []otherServer {
+	shares := divideDescriptors(s.settings.maxDescriptors())
+	return []otherServer{
+		{s.settings.ReadyAddress, s.readyRouter(), s.settings.otherLimits(shares.ready, smallListenerShare), smallRequestTimeout, process.ListenForCallers},
+		{s.settings.MetricsAddress, s.metricsRouter(), s.settings.otherLimits(shares.metrics, smallListenerShare), smallRequestTimeout, process.ListenForCallers},
+		{s.settings.PeerAddress, s.peers.Router(), s.settings.otherLimits(shares.peers, 0), 0, process.Listen},
+	}
+}
+
 // expireConnections closes the connections that have been idle, or have been receiving headers, for too long.
 func (s *Server) expireConnections(now time.Time) {
 	s.callers.Expire(now, callers.Timeouts{Headers: s.headerTimeout(), Idle: s.idleTimeout()})
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -268,15 +268,10 @@
 	if err := s.serveCallers(t); err != nil {
 		return err
 	}
-	shares := divideDescriptors(s.settings.maxDescriptors())
-	if err := s.serveOther(t, s.settings.ReadyAddress, s.readyRouter(), s.settings.otherLimits(shares.ready, smallListenerShare), smallRequestTimeout); err != nil {
-		return err
-	}
-	if err := s.serveOther(t, s.settings.MetricsAddress, s.metricsRouter(), s.settings.otherLimits(shares.metrics, smallListenerShare), smallRequestTimeout); err != nil {
-		return err
-	}
-	if err := s.serveOther(t, s.settings.PeerAddress, s.peers.Router(), s.settings.otherLimits(shares.peers, 0), 0); err != nil {
-		return err
+	for _, other := range s.otherServers() {
+		if err := s.serveOther(t, other); err != nil {
+			return err
+		}
 	}
 	if err := s.peers.Start(t); err != nil {
 		return err
