Limit the connections to servers

What callers saw: nothing yet; found by going through what one caller's request makes an entry open. A request takes a connection to a server, and one for each reservation, and the entry opened them without a limit: at 320 sockets of 400 under 160 callers. With reservations at several servers the store and the other entries would find no descriptor.

Cause: descriptors were limited where callers connect, not where their requests do.

Connections to servers have 0.4 of the sockets, as callers have. Over it a request is refused as not run (queue_full), and the server is not held unreachable, as nothing was dialled.

Evidence: TestConnectionsToServersAreLimited; red without the limit (its row in proof/mutations).

--- a/entry/gateway/attempt.go
+++ b/entry/gateway/attempt.go
@@ -144,6 +144,9 @@
 
 // noResponse returns the result of an attempt that got no response headers.
 func (e *exchange) noResponse(ctx context.Context, server string, err error) attemptResult {
+	if errors.Is(err, errConnectionsFull) {
+		return e.incompleteResult(ctx, server, execution.ForwardUnsent, execution.Refusal{Code: execution.CodeQueueFull, Detail: err.Error(), RetryAfter: time.Second})
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		if ctx.Err() == nil {
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -61,11 +61,13 @@
 	registry    metrics.Registry
 	counters    counters
 	traffic     *peerlink.Traffic
-	transport   *http.Transport
-	orderClient *http.Client
-	table       atomic.Pointer[routes.Table]
-	started     chan struct{}             // closed when this entry leaves the Starting state
-	stopping    atomic.Pointer[time.Time] // when shutdown began; nil before
+	// serverDialer opens the connections of transport and orderClient.
+	serverDialer *serverDialer
+	transport    *http.Transport
+	orderClient  *http.Client
+	table        atomic.Pointer[routes.Table]
+	started      chan struct{}             // closed when this entry leaves the Starting state
+	stopping     atomic.Pointer[time.Time] // when shutdown began; nil before
 	// callers accepts the connections of callers, others those at the other addresses.
 	callers *callers.Listener
 	others  []otherListener
@@ -151,8 +153,9 @@
 	admin.RegisterRuntime(s.registry)
 	s.manager = lifecycle.NewManager(s.stateChanged)
 	s.callers = s.newCallerListener()
-	s.transport = newTransport()
-	s.orderClient = &http.Client{Transport: newTransport()}
+	s.serverDialer = &serverDialer{dialer: newDialer()}
+	s.transport = newTransport(s.serverDialer)
+	s.orderClient = &http.Client{Transport: newTransport(s.serverDialer)}
 	peers := peerServices{s}
 	s.peers = peerlink.New(peerlink.Options{Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: s.incarnation, Seeds: settings.Seeds, Log: s.log, Traffic: s.traffic,
 		Status: peers, Views: peers, Loads: peers, Records: peers, Placements: peers})
@@ -169,6 +172,7 @@
 	s.registerEvacuationGauges()
 	s.registerClaimMetrics()
 	s.registerCallerMetrics()
+	s.functionalGauge("servers.connections", s.serverDialer.open.Load)
 	return s
 }
 
@@ -215,8 +219,8 @@
 // connection that the server is about to close, a request may be lost without evidence whether it
 // ran, and a duplicate or late response would be taken for that of the next request. A new
 // connection costs a millisecond.
-func newTransport() *http.Transport {
-	return &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
+func newTransport(dialer *serverDialer) *http.Transport {
+	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 }
 
 // newDialer returns the dialer for connections to backend servers and to the store.
@@ -253,6 +257,7 @@
 func (s *Server) applyRuntime(settings Settings) {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * heapMemoryShare))
 	s.callers.SetLimits(settings.callerLimits())
+	s.serverDialer.limit.Store(int64(divideDescriptors(settings.maxDescriptors()).servers))
 	runtime.GOMAXPROCS(settings.Processors)
 }
 
--- a/proof/mutations/callers_mutations_test.go
+++ b/proof/mutations/callers_mutations_test.go
@@ -26,6 +26,7 @@
 	{"options for the whole server are refused as others", "core/callers/listener.go", "		DisableGeneralOptionsHandler: true}\n", "	}\n", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
 	{"a slow body is answered when its connection is closed", "core/callers/listener.go", "			c.answer(l.options.Unavailable)\n", "", gatewayPkg, "TestASlowBodyIsRefusedForAnother"},
 	{"a body that was cut off does not run", "entry/gateway/body.go", "		if err != nil || int64(len(data)) > buffer.most {\n			return data, err\n", "		if err != nil || int64(len(data)) > buffer.most {\n			return data, nil\n", gatewayPkg, "TestABodyOfUnknownLengthIsReadToItsEnd"},
+	{"connections to servers are limited", "entry/gateway/serverconnections.go", "	if d.open.Add(1) > d.limit.Load() {\n", "	if d.open.Add(1) < 0 {\n", gatewayPkg, "TestConnectionsToServersAreLimited"},
 	{"the log queue is limited in bytes", "core/process/log.go", " || w.queued.Load()+int64(len(line)) > maxQueuedBytes", "", processPkg, "TestQueuedLinesAreBoundedInBytes"},
 	{"long texts are cut in the log", "core/process/log.go", "len(text) > maxFieldBytes\n", "false\n", processPkg, "TestLongTextsAreCutInTheLog"},
 }
