--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -87,13 +87,11 @@
 // nothing of it. If the connection were closed before, it would be reset, and a caller that is still
 // sending would lose the response.
 func (e *exchange) discardBody() {
-	refusedAt := time.Now()
 	if e.r.Header.Get("Expect") != "" {
-		// The caller sends no body after a refusal, but net/http reads a part of what is stated to come.
-		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))
-		return
+		return // the caller sends no body after a refusal
 	}
 	defer e.endReadOnAbort()()
+	refusedAt := time.Now()
 	for left := e.bodyLimit(); left > 0; left -= discardBytes {
 		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(refusedAt))
 		if e.s.manager.Aborting().Err() != nil {
