Leave memory beside the heap for what the kernel holds

What callers saw: nothing; found by adding up the account. The heap may take 0.7 of the memory, and of the 0.5 for callers the kernel may hold two thirds: on a host of 184 MB bodies and waiting bytes mixed evenly come to 129 + 46 MB and some 12 for the program, 187 in all.

The heap gets 0.65. The worst mixture comes to 183 of 184 MB then, and to 156 of 160: with much in the kernel the heap holds less, and its garbage collector, which lets it double at the most, starts before the limit. Worked out, not measured; ordinary load is far below (14 to 21 MB in all).

--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -250,12 +250,13 @@
 		IdleConnTimeout: storeIdleTimeout}}
 }
 
-// heapMemoryShare is the share of the process's memory for the Go heap; the rest is for stacks,
-// sockets and the C library.
-const heapMemoryShare = 0.7
+// heapMemoryShare is the share of the process's memory for the Go heap and stacks; the rest is for the program, the C
+// library, and what the kernel holds of connections. Of callerMemoryShare the kernel may hold two thirds, while the heap
+// then needs less than its share.
+const heapMemoryShare = 0.65
 
 func (s *Server) applyRuntime(settings Settings) {
-	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * heapMemoryShare))
+	debug.SetMemoryLimit(settings.memory(heapMemoryShare))
 	s.callers.SetLimits(settings.callerLimits())
 	s.serverDialer.limit.Store(int64(divideDescriptors(settings.maxDescriptors()).servers))
 	runtime.GOMAXPROCS(settings.Processors)
