Give the answer to an ended request five milliseconds

What callers saw: nothing yet; found reading the change. The answer to a request that is ended for another one is written by the one that takes its place, at times by the loop that accepts connections, and had 200 ms. It goes into an empty send buffer at once, but a caller that sends ahead, reads nothing and then stops in a body has filled that buffer: each of these would stop the accepting of connections for 200 ms.

Five milliseconds are enough for the buffer, and what doesn't fit is not waited for.

--- a/core/callers/listener.go
+++ b/core/callers/listener.go
@@ -130,7 +130,7 @@
 	l.mu.Unlock()
 	for _, c := range shed {
 		if c.isUnanswered() {
-			c.answer(l.options.Unavailable)
+			c.answer(l.options.Unavailable, shedTimeout)
 		}
 		closeQuietly(c.Conn)
 	}
@@ -329,7 +329,7 @@
 
 // reject answers a request whose headers are not read to their end.
 func (c *Conn) reject(response []byte) {
-	c.answer(response)
+	c.answer(response, rejectTimeout)
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(rejectTimeout)) != nil {
 		return
 	}
@@ -340,9 +340,13 @@
 	}
 }
 
-// answer writes a complete response, if the caller takes it at once.
-func (c *Conn) answer(response []byte) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout)); err == nil {
+// shedTimeout bounds the writing of a response to a request that is ended for another one, which waits meanwhile. The
+// send buffer takes the response at once, unless the caller reads nothing.
+const shedTimeout = 5 * time.Millisecond
+
+// answer writes a complete response, if the caller takes it in time.
+func (c *Conn) answer(response []byte, timeout time.Duration) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err == nil {
 		_, _ = c.Conn.Write(response) // the connection is closed either way
 	}
 }
@@ -375,7 +379,7 @@
 	l.mu.Unlock()
 	l.shed(shed)
 	if !ok {
-		c.answer(l.options.Unavailable)
+		c.answer(l.options.Unavailable, rejectTimeout)
 	}
 	return ok
 }
@@ -478,7 +482,7 @@
 	}
 }
 
-// Reserve sets memory aside for the request, in bytes, until Release.
+// Reserve sets memory aside for the request, in bytes. It is given back as that of a body.
 func (c *Conn) Reserve(count int64) bool {
 	return c.reserve(func(now time.Time) ([]*Conn, bool) { return c.listener.table.Reserve(now, c, count) })
 }
@@ -496,16 +500,6 @@
 	return ok
 }
 
-// Release gives back memory that Reserve has set aside.
-func (c *Conn) Release(count int64) {
-	if c == nil {
-		return
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.listener.table.Release(c, count)
-}
-
 // writeBytes is written at a time, so that a caller that reads slowly is told from one that doesn't read.
 const writeBytes = 16 << 10
 
--- a/core/callers/table.go
+++ b/core/callers/table.go
@@ -203,13 +203,6 @@
 	return true
 }
 
-// Release gives back memory that Reserve has set aside.
-func (t *Table[K]) Release(key K, bytes int64) {
-	if e := t.entries[key]; e != nil {
-		t.hold(e, -bytes, 0)
-	}
-}
-
 // Expire closes the connections that have exceeded a timeout and returns them.
 func (t *Table[K]) Expire(now time.Time, timeouts Timeouts) []K {
 	var expired []K
--- a/proof/mutations/callers_mutations_test.go
+++ b/proof/mutations/callers_mutations_test.go
@@ -23,7 +23,7 @@
 	{"the configuration limits the time for headers", "entry/gateway/connections.go", "		return table.Limits().HeaderTimeout + headerTimeoutSlack\n", "		return time.Hour\n", gatewayPkg, "TestTheConfigurationLimitsHeaders"},
 	{"a refused caller that stops sending is disconnected", "entry/gateway/responses.go", "		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(time.Now()))\n", "", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
 	{"options for the whole server are refused as others", "core/callers/listener.go", "		DisableGeneralOptionsHandler: true}\n", "	}\n", gatewayPkg, "TestARefusedCallerThatStopsIsDisconnected"},
-	{"a slow body is answered when its connection is closed", "core/callers/listener.go", "			c.answer(l.options.Unavailable)\n", "", gatewayPkg, "TestASlowBodyIsRefusedForAnother"},
+	{"a slow body is answered when its connection is closed", "core/callers/listener.go", "			c.answer(l.options.Unavailable, shedTimeout)\n", "", gatewayPkg, "TestASlowBodyIsRefusedForAnother"},
 	{"a body that was cut off does not run", "entry/gateway/body.go", "		if err != nil || int64(len(data)) > buffer.most {\n			return data, err\n", "		if err != nil || int64(len(data)) > buffer.most {\n			return data, nil\n", gatewayPkg, "TestABodyOfUnknownLengthIsReadToItsEnd"},
 	{"connections to servers are limited", "entry/gateway/serverconnections.go", "	if d.open.Add(1) > d.limit.Load() {\n", "	if d.open.Add(1) < 0 {\n", gatewayPkg, "TestConnectionsToServersAreLimited"},
 	{"the log queue is limited in bytes", "core/process/log.go", " || w.queued.Load()+int64(len(line)) > maxQueuedBytes", "", processPkg, "TestQueuedLinesAreBoundedInBytes"},
