Crowds at the product's own interface, red

Its listeners don't use core/callers yet; nor do those of arbutus-host, whose callers are the entries. The memory of headers, waiting bytes and log lines isn't tested there.

--- a/proof/processes/forward_test.go
+++ b/proof/processes/forward_test.go
@@ -94,7 +94,7 @@
 	f.entries = append(f.entries, settings)
 	command := []string{filepath.Join(binaries, "arbutus-entry"), "forward", "--settings", path}
 	if spec.descriptors > 0 {
-		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, spec.descriptors)}, command...)
+		command = limitDescriptors(command, spec.descriptors)
 	}
 	if !spec.stalledLog {
 		f.launch(settings.Name, command)
@@ -109,6 +109,11 @@
 	f.launchWithLog(settings.Name, command, log)
 }
 
+// limitDescriptors returns a command that runs another one with a limit of its descriptors.
+func limitDescriptors(command []string, limit int) []string {
+	return append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, limit)}, command...)
+}
+
 func (f *forwardTestbed) isReady(settings gateway.Settings) bool {
 	response, err := f.client.Get("http://" + settings.ReadyAddress + platform.ReadyPath)
 	if err != nil {
--- a/proof/processes/misbehaving_test.go
+++ b/proof/processes/misbehaving_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"arbutusdeck/platform"
 	"arbutusdeck/platform/standin"
+	"arbutusdeck/standin/fleet"
 )
 
 // Limits of the entry under misbehaving callers. They are below those of the smallest host, so that a small crowd
@@ -191,7 +193,8 @@
 	f := startForwardTestbed(t, forwardSpec{entries: 1, processors: 2, stopLimit: usualStopLimit, memoryMB: crowdMemoryMB,
 		bodyBytes: crowdBodyBytes, routeTimeout: crowdRouteTimeout, descriptors: descriptors, stalledLog: stalledLog}, plain)
 	usage := f.watchUsage(f.entries[0].Name, f.entries[0].ListenAddress)
-	f.openCrowd(b)
+	entry := f.entries[0]
+	f.openCrowd(b, []target{{entry.ListenAddress, "/read/x"}, {entry.ListenAddress, "/none/x"}, {entry.ReadyAddress, platform.ReadyPath}})
 	f.eventually("an ordinary request is answered", func() bool {
 		return statusOf(standin.NewRequest(f.entries[0].ListenAddress, http.MethodPost, "/order/x", "ordinary", 0, strings.Repeat("z", ordinaryBodyBytes))) == http.StatusOK
 	})
@@ -211,6 +214,38 @@
 	require.LessOrEqual(t, sockets, descriptors-fileDescriptors, "sockets")
 }
 
+// Guards against the same at the product's own interface: silent, idle and unfinished callers take the descriptors, and
+// refused ones that stop sending or reading stay forever.
+func TestMisbehavingCrowdAtTheOwnInterface(t *testing.T) {
+	for _, b := range misbehaviours {
+		switch b.name {
+		case "connections without a byte", "idle connections after a response", "headers that come slowly", "bodies that come slowly",
+			"requests sent ahead without reading the responses", "options for the whole server with a body that does not come":
+			t.Run(strings.ReplaceAll(b.name, " ", "_"), func(t *testing.T) { testOwnInterface(t, b) })
+		}
+	}
+}
+
+func testOwnInterface(t *testing.T, b behaviour) {
+	s := startTestbed(t, fastSpec())
+	name := fleet.EntryName(0)
+	s.signal(name, syscall.SIGKILL)
+	<-s.daemons[name].exited
+	s.launch(name, limitDescriptors(s.daemons[name].command, crowdDescriptors))
+	s.awaitReady(name)
+	address := strings.TrimPrefix(s.fleet.CallerURL(0), "http://")
+	usage := s.watchUsage(name, address)
+	s.openCrowd(b, []target{{address, "/v1/completions"}, {address, "/none"}, {address, "/readyz"}})
+	s.client.CloseIdleConnections()
+	s.eventually("an ordinary request is answered", func() bool {
+		return s.do(call{path: "/v1/completions", body: completionBody(prompt(100), 5, true)}).status == http.StatusOK
+	})
+	s.awaitReady(name)
+	_, sockets := usage()
+	t.Logf("at the highest: %d sockets", sockets)
+	require.LessOrEqual(t, sockets, crowdDescriptors-fileDescriptors, "sockets")
+}
+
 // Guards against limits on callers that refuse what is legal: in calm an entry of the smallest host serves the largest
 // requests of any form, and a crowd of all callers of a zone.
 func TestLegalCallersMeetNoLimit(t *testing.T) {
@@ -276,11 +311,9 @@
 	return response.StatusCode
 }
 
-// openCrowd lets the callers of a crowd connect, a third each at a path with a route, one without, and the ready
-// address, and returns once each has sent what it sends or was refused. They come back until the test ends.
-func (f *forwardTestbed) openCrowd(b behaviour) {
-	entry := f.entries[0]
-	targets := []target{{entry.ListenAddress, "/read/x"}, {entry.ListenAddress, "/none/x"}, {entry.ReadyAddress, platform.ReadyPath}}
+// openCrowd lets the callers of a crowd connect, an equal part each at the targets, and returns once each has sent what
+// it sends or was refused. They come back until the test ends.
+func (s *testbed) openCrowd(b behaviour, targets []target) {
 	stopped := make(chan struct{})
 	var callers, begun sync.WaitGroup
 	for i := range b.callers {
@@ -299,7 +332,7 @@
 			}
 		})
 	}
-	f.t.Cleanup(func() {
+	s.t.Cleanup(func() {
 		close(stopped)
 		callers.Wait()
 	})
