Take the platform's names out of the new tests

They ask the stand-in and the platform's package now. The crowd with long identifiers sends the same bytes but for the place of the padding.

--- a/entry/gateway/callerlimits_test.go
+++ b/entry/gateway/callerlimits_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusdeck/platform"
 	"arbutusdeck/platform/standin"
 )
 
@@ -32,7 +33,7 @@
 			t.Cleanup(func() { _ = connection.Close() })
 		}
 	}
-	for _, path := range []string{settings.ReadyAddress + "/v1/readiness", settings.MetricsAddress + "/metrics"} {
+	for _, path := range []string{settings.ReadyAddress + platform.ReadyPath, settings.MetricsAddress + "/metrics"} {
 		w.eventually(path+" answers", func() bool {
 			response, err := http.Get("http://" + path)
 			if err != nil {
--- a/entry/gateway/serverconnections_test.go
+++ b/entry/gateway/serverconnections_test.go
@@ -18,7 +18,7 @@
 	entered, released := make(chan struct{}), make(chan struct{})
 	release := sync.OnceFunc(func() { close(released) })
 	worker := w.worker("i-1", "plain", func(out http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Attempt-Id") == "first" {
+		if standin.RunFromRequest(r).ID == "first" {
 			entered <- struct{}{}
 			<-released
 		}
--- a/proof/processes/misbehaving_test.go
+++ b/proof/processes/misbehaving_test.go
@@ -149,7 +149,7 @@
 	}},
 	{"very long identifiers", 450, func(connection net.Conn, to target, caller int) {
 		head := requestHead("GET", to, caller)
-		head = strings.Replace(head, "Attempt-Id: ", "Attempt-Id: "+strings.Repeat("<", crowdHeaderBytes-len(head)-2), 1)
+		head = strings.Replace(head, "crowd-", "crowd-"+strings.Repeat("<", crowdHeaderBytes-len(head)-2), 1)
 		writeRepeatedly(connection, head+"\r\n", 10*crowdHeaderBytes)
 	}},
 	{"options for the whole server with a body that does not come", 450, func(connection net.Conn, _ target, caller int) {
@@ -186,7 +186,7 @@
 	t.Cleanup(plain.Close)
 	long := strings.Repeat("y", 250<<10)
 	plain.Script = func(out http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.Header.Get("Attempt-Id"), "crowd") {
+		if strings.HasPrefix(standin.RunFromRequest(r).ID, "crowd") {
 			_, _ = io.WriteString(out, long)
 		}
 	}
