Set the write deadline of a refusal where it is refused

Without the write deadline of an answer, the one that was set as a request begins ended it too (5.8 s), so that nothing missed the former: a refused request without a deadline gets its own where it is refused now, and no other one does. And the test of the order of slow bodies was green by chance without their rates, as both had begun at once: the slow one is the younger one now, so that order by age takes the other.

--- a/core/callers/table_test.go
+++ b/core/callers/table_test.go
@@ -28,9 +28,10 @@
 	limits := unlimited()
 	limits.Connections = 7
 	table := NewTable[string](limits)
-	for key, phase := range map[string]Phase{"answering": Answering, "blocked": Blocked, "slow body": Body, "fast body": Body, "headers": Headers, "idle": Idle} {
+	for key, phase := range map[string]Phase{"answering": Answering, "blocked": Blocked, "fast body": Body, "headers": Headers, "idle": Idle} {
 		open(t, table, at(0), key, phase)
 	}
+	open(t, table, at(time.Millisecond), "slow body", Body)
 	open(t, table, at(time.Millisecond), "new", New)
 	table.Receive(at(time.Second), "slow body", 100)
 	table.Receive(at(time.Second), "fast body", 1000)
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -126,7 +126,7 @@
 // is written to the caller.
 const responseWriteSlack = 200 * time.Millisecond
 
-// refusalWriteTimeout bounds the writing of the response to a request that is refused before its deadline is known.
+// refusalWriteTimeout bounds the writing of the response to a request that is refused before it has a deadline.
 const refusalWriteTimeout = 5 * time.Second
 
 // setIODeadlines bounds the time to read the body and to write the response. A caller that stops
--- a/entry/gateway/handler.go
+++ b/entry/gateway/handler.go
@@ -94,7 +94,6 @@
 	defer s.manager.End()
 	s.open.add(e)
 	defer s.open.remove(e)
-	e.setDeadline((*http.ResponseController).SetWriteDeadline, now.Add(maxStartWait+refusalWriteTimeout))
 	if !s.acceptsRequests(now) {
 		e.refuse(http.StatusServiceUnavailable, e.shutdownRefusal())
 		return
--- a/entry/gateway/responses.go
+++ b/entry/gateway/responses.go
@@ -78,6 +78,9 @@
 	if c.Refusal.RetryAfter > 0 && c.Outcome == execution.NotRun {
 		platform.SetRetryAfter(h, c.Refusal.RetryAfter)
 	}
+	if e.deadline.IsZero() {
+		e.setDeadline((*http.ResponseController).SetWriteDeadline, time.Now().Add(refusalWriteTimeout))
+	}
 	if !e.bodyEnded && e.r.ContentLength != 0 {
 		// net/http reads the rest of a short body before it writes the headers.
 		e.setDeadline((*http.ResponseController).SetReadDeadline, e.discardDeadline(time.Now()))
