Limit the connections to hosts

What callers saw: with enough callers, or enough hosts, an entry had no descriptor left to read the platform, to answer peers or to accept its own administrator: each call of a host opens a connection, and up to 64 idle ones were kept for each of some hundred hosts.

Cause: the dialer between daemons had no limit.

Evidence: TestConnectionsToHostsAreLimited, red on the code before: no request was refused.

Change: connections to hosts have half of the sockets, a quarter of these may be idle. Callers have 0.3, so that the limit isn't met before theirs. What is over it is refused as queue_full, not run: nothing was sent, or the offer has no stream and is never run; the host is not held unreachable. A host has 0.1 for connections to other hosts.

--- a/core/process/base.go
+++ b/core/process/base.go
@@ -30,6 +30,8 @@
 	Incarnation execution.Incarnation
 	// DialTimeout bounds the time to connect to another daemon.
 	DialTimeout time.Duration
+	// MaxConnections bounds the connections to other daemons.
+	MaxConnections int
 	// OnSnapshot is called with every snapshot after it is applied.
 	OnSnapshot func(snapshot *config.Snapshot)
 	// OnHosts is called with every host list read from the platform.
@@ -71,7 +73,7 @@
 	b := &Base{
 		Log:      options.Log,
 		Store:    &config.Store{},
-		Dialer:   wire.NewDialer(options.Settings.Secret, options.DialTimeout),
+		Dialer:   wire.NewDialer(options.Settings.Secret, options.DialTimeout, options.MaxConnections),
 		Registry: metrics.NewRegistry(),
 		options:  options,
 		peers:    map[string]PeerStatus{},
@@ -82,6 +84,7 @@
 		OnSnapshot: options.OnSnapshot, OnHosts: options.OnHosts, Sync: options.Sync, Seeds: options.Settings.Peers, Name: options.Settings.Name,
 	})
 	admin.RegisterRuntime(b.Registry)
+	metrics.NewRegisteredFunctionalGauge("daemons.connections", b.Registry, b.Dialer.Connections)
 	return b
 }
 
--- a/core/wire/client.go
+++ b/core/wire/client.go
@@ -23,23 +23,28 @@
 
 // Dialer makes the calls between daemons, authenticated by the shared secret.
 type Dialer struct {
-	http   *http.Client
-	secret string
+	http        *http.Client
+	connections *netopts.LimitedDialer
+	secret      string
 
 	mu    sync.Mutex
 	hosts map[string]HostDaemon
 }
 
-// NewDialer returns a dialer. dialTimeout bounds the opening of a connection.
-func NewDialer(secret string, dialTimeout time.Duration) *Dialer {
+// NewDialer returns a dialer. dialTimeout bounds the opening of a connection, maxConnections the number of open ones, of
+// which a quarter may be idle.
+func NewDialer(secret string, dialTimeout time.Duration, maxConnections int) *Dialer {
+	connections := netopts.NewLimitedDialer(&netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: netopts.KeepAlive, Control: netopts.Control}, RunTimeout: dialTimeout})
+	connections.SetLimit(maxConnections)
 	transport := &http.Transport{
-		DialContext:           (&netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: netopts.KeepAlive, Control: netopts.Control}, RunTimeout: dialTimeout}).DialContext,
+		DialContext:           connections.DialContext,
+		MaxIdleConns:          max(1, maxConnections/4),
 		MaxIdleConnsPerHost:   64,
 		IdleConnTimeout:       90 * time.Second,
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
 	}
-	return &Dialer{http: &http.Client{Transport: authorized{transport, secret}}, secret: secret, hosts: map[string]HostDaemon{}}
+	return &Dialer{http: &http.Client{Transport: authorized{transport, secret}}, connections: connections, secret: secret, hosts: map[string]HostDaemon{}}
 }
 
 // authorized adds the daemons' credential to each call.
@@ -54,6 +59,9 @@
 	return a.next.RoundTrip(request)
 }
 
+// Connections returns the number of open connections.
+func (d *Dialer) Connections() int64 { return d.connections.Open() }
+
 // HTTP returns the client for answer streams.
 func (d *Dialer) HTTP() *http.Client { return d.http }
 
--- a/entry/peerlink/link.go
+++ b/entry/peerlink/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -66,7 +67,7 @@
 // New returns a Link that sends and receives nothing before Start or Attach.
 func New(options Options) *Link {
 	group := peering.New(options.Address, options.Zone, options.Incarnation, options.Seeds)
-	return &Link{options: options, log: options.Log, traffic: options.Traffic, group: group, dialer: wire.NewDialer("", peerDialTimeout),
+	return &Link{options: options, log: options.Log, traffic: options.Traffic, group: group, dialer: wire.NewDialer("", peerDialTimeout, math.MaxInt32),
 		addresses: map[string]net.Addr{}, placementReplies: map[string]placementReply{}}
 }
 
--- a/entry/server/driver.go
+++ b/entry/server/driver.go
@@ -61,6 +61,10 @@
 // shutdown has passed.
 var stoppingRefusal = execution.Refusal{Code: execution.CodeDraining, Detail: "this entry ends", RetryAfter: time.Second}
 
+// connectionsRefusal is the refusal of requests for which there is no connection to a host. The host is not to blame.
+var connectionsRefusal = execution.Refusal{Code: execution.CodeQueueFull, Detail: "the connections to hosts take all the descriptors that they may",
+	RetryAfter: time.Second}
+
 // drive runs a request and writes its response. It returns as soon as the request's state
 // machine has reached a conclusion.
 func (s *Server) drive(ctx context.Context, t *task) execution.Conclusion {
@@ -174,6 +178,11 @@
 		return
 	}
 	reply, err := d.s.Dialer.Host(address).Offer(ctx, m)
+	if errors.Is(err, netopts.ErrConnectionsFull) {
+		d.s.attemptEnded(d.t, action.Target.Server)
+		d.send(execution.OfferAnswered{Attempt: action.Attempt, Result: execution.OfferResult{Verdict: execution.Refused, Refusal: &connectionsRefusal}})
+		return
+	}
 	if err != nil {
 		d.s.attemptEnded(d.t, action.Target.Server)
 		if d.ctx.Err() == nil {
@@ -239,6 +248,12 @@
 	defer idle.Stop()
 	response, err := d.s.Dialer.HTTP().Do(request.WithContext(ctx))
 	if err != nil {
+		if errors.Is(err, netopts.ErrConnectionsFull) && !action.Resume {
+			// The offer has no stream and is never run.
+			d.send(execution.FrameArrived{Frame: execution.Frame{Request: d.t.options.ID, Attempt: action.Attempt, Sequence: 1, Last: true, Outcome: execution.NotRun,
+				Code: connectionsRefusal.Code, Detail: connectionsRefusal.Detail, RetryAfter: connectionsRefusal.RetryAfter}})
+			return
+		}
 		ended.Sent = !isDialError(err)
 		if action.Resume && netopts.IsConnectionRefused(err) {
 			// Nothing listens there any more: the server crashed together with its host daemon.
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -95,7 +95,7 @@
 	}
 	s.Base = process.NewBase(process.BaseOptions{
 		Settings: options.Settings.Settings, Log: options.Log, Trail: options.Trail, Platform: options.Platform, Sync: options.Sync,
-		Incarnation: execution.Incarnation(uuid.NewString()), DialTimeout: dialTimeout, OnSnapshot: s.applySnapshot, OnHosts: s.applyHostList,
+		Incarnation: execution.Incarnation(uuid.NewString()), DialTimeout: dialTimeout, MaxConnections: options.Settings.maxHostConnections(), OnSnapshot: s.applySnapshot, OnHosts: s.applyHostList,
 		OnStateChange: func(lifecycle.State) {},
 	})
 	s.counters = newCounters(s.Registry)
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -73,6 +73,11 @@
 	return limits
 }
 
+// maxHostConnections returns the limit of the connections to host daemons.
+func (s *Settings) maxHostConnections() int {
+	return int(float64(process.SocketsOf(s.resources().Descriptors())) * hostSocketShare)
+}
+
 func (s *Settings) applyDefaults() {
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = DefaultMaxBodyBytes
--- a/host/server/server.go
+++ b/host/server/server.go
@@ -77,6 +77,7 @@
 
 // New returns a daemon that is not yet started; see Start.
 func New(options Options) *Server {
+	resources := options.Settings.Resources(DefaultMemoryMB)
 	s := &Server{
 		options:       options,
 		engines:       newClients(options.Settings.Engines),
@@ -87,7 +88,8 @@
 	}
 	s.Base = process.NewBase(process.BaseOptions{
 		Settings: options.Settings.Settings, Log: options.Log, Trail: options.Trail, Platform: options.Platform, Sync: options.Sync,
-		Incarnation: options.Backend.Incarnation, DialTimeout: dialTimeout, OnSnapshot: s.applySnapshot, OnHosts: s.applyHostList, OnStateChange: s.setState,
+		Incarnation: options.Backend.Incarnation, DialTimeout: dialTimeout,
+		MaxConnections: int(float64(process.SocketsOf(resources.Descriptors())) * dialSocketShare), OnSnapshot: s.applySnapshot, OnHosts: s.applyHostList, OnStateChange: s.setState,
 	})
 	s.counters = newCounters(s.Registry)
 	s.reports = newReports(s.Registry)
--- a/host/server/settings.go
+++ b/host/server/settings.go
@@ -16,6 +16,8 @@
 	daemonMemoryShare = 0.35
 	adminSocketShare  = 0.02
 	adminMemoryShare  = 0.02
+	// dialSocketShare is for connections to other daemons.
+	dialSocketShare = 0.1
 )
 
 // Settings holds the settings of a host daemon.
