Bound the responses that a host keeps

What callers saw: callers that sent legal requests with large answers and did not read them ended the host daemon for want of memory, and with it the runs of all others.

Cause: a host keeps all frames of a response, read or not, until its stream can't be resumed any more, and reads the engine's response as fast as it comes. Nothing bounds them together.

Change: execution.Retained, a pure account of the frames of all responses (0.15 of the memory). Of a response that is read 512 KB are kept behind the stream, more than the buffers of a connection hold, so that one that breaks can be resumed. Over the limit the frames of responses that have been sent go first, then those that have not been read for a second, the largest first: their streams end, and a resume finds none. If that makes too little room the engine's response waits; a response whose frames have all been sent goes on with one at a time, so that responses that are read never wait for each other.

--- a/core/execution/frame.go
+++ b/core/execution/frame.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,10 +92,17 @@
 	request RequestID
 	attempt AttemptID
 	sum     *xxhash.Digest
+	// frames follow trimmed ones that are no longer kept.
 	frames  []Frame
-	ended   bool
+	trimmed uint64
+	// bytes is the memory of frames.
+	bytes int64
+	ended bool
 }
 
+// FrameOverhead is the memory of a frame besides its payload, in bytes.
+const FrameOverhead = 256
+
 // NewFrameWriter returns a writer without frames.
 func NewFrameWriter(request RequestID, attempt AttemptID) *FrameWriter {
 	return &FrameWriter{request: request, attempt: attempt, sum: xxhash.New()}
@@ -106,8 +114,9 @@
 		return
 	}
 	_, _ = w.sum.Write(payload)
-	w.frames = append(w.frames, Frame{Request: w.request, Attempt: w.attempt, Sequence: uint64(len(w.frames) + 1),
+	w.frames = append(w.frames, Frame{Request: w.request, Attempt: w.attempt, Sequence: w.last() + 1,
 		Payload: payload, ContentType: contentType, Status: status})
+	w.bytes += int64(len(payload)) + FrameOverhead
 }
 
 // End appends the last frame. Further calls do nothing.
@@ -116,19 +125,57 @@
 		return
 	}
 	w.ended = true
-	w.frames = append(w.frames, Frame{Request: w.request, Attempt: w.attempt, Sequence: uint64(len(w.frames) + 1),
-		Last: true, Count: uint64(len(w.frames)), Checksum: w.sum.Sum64(), Outcome: outcome,
+	w.frames = append(w.frames, Frame{Request: w.request, Attempt: w.attempt, Sequence: w.last() + 1,
+		Last: true, Count: w.last(), Checksum: w.sum.Sum64(), Outcome: outcome,
 		Code: refusal.Code, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
 }
 
 // From returns the frames from a sequence number on and reports whether the
 // answer has ended, so that the last frame is among them.
 func (w *FrameWriter) From(sequence uint64) ([]Frame, bool) {
-	if sequence == 0 {
-		sequence = 1
-	}
-	if sequence > uint64(len(w.frames)) {
+	sequence = max(sequence, w.trimmed+1)
+	if sequence > w.last() {
 		return nil, w.ended
 	}
-	return w.frames[sequence-1:], w.ended
+	return w.frames[sequence-w.trimmed-1:], w.ended
+}
+
+// last returns the sequence number of the last frame.
+func (w *FrameWriter) last() uint64 { return w.trimmed + uint64(len(w.frames)) }
+
+// HasBeyond reports whether there are frames after a sequence number.
+func (w *FrameWriter) HasBeyond(sequence uint64) bool { return w.last() > sequence }
+
+// Holds reports whether the frames from a sequence number on are kept.
+func (w *FrameWriter) Holds(sequence uint64) bool { return sequence > w.trimmed }
+
+// Trim drops frames up to a sequence number that have been sent, except for the last ones with at least window bytes, which
+// a broken stream may not have delivered. It returns the dropped bytes.
+func (w *FrameWriter) Trim(sent uint64, window int64) int64 {
+	if w.bytes <= 2*window {
+		return 0
+	}
+	payloads := w.last()
+	if w.ended {
+		payloads--
+	}
+	count, kept := 0, int64(0)
+	for i := min(sent, payloads); i > w.trimmed; i-- {
+		if kept >= window {
+			count = int(i - w.trimmed)
+			break
+		}
+		kept += frameBytes(w.frames[i-w.trimmed-1])
+	}
+	dropped := int64(0)
+	for _, frame := range w.frames[:count] {
+		dropped += frameBytes(frame)
+	}
+	if count > 0 {
+		w.frames, w.trimmed = slices.Clone(w.frames[count:]), w.trimmed+uint64(count)
+		w.bytes -= dropped
+	}
+	return dropped
 }
+
+func frameBytes(frame Frame) int64 { return int64(len(frame.Payload)) + FrameOverhead }
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -88,8 +88,8 @@
 // Run sends the request and passes each chunk of the response to onChunk as it
 // arrives; an empty body yields one call with no data. Errors wrap ErrNotSent,
 // ErrBusy or ErrFailed. An error status of a plain service is not an error: it
-// is passed on as the response.
-func (c *Client) Run(ctx context.Context, call Call, onChunk func(head ResponseHead, data []byte)) error {
+// is passed on as the response. An error of onChunk ends the call with ErrFailed.
+func (c *Client) Run(ctx context.Context, call Call, onChunk func(head ResponseHead, data []byte) error) error {
 	request, err := c.request(ctx, call)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrNotSent, err)
@@ -149,19 +149,21 @@
 	return nil
 }
 
-func readChunks(response *http.Response, onChunk func(head ResponseHead, data []byte)) error {
+func readChunks(response *http.Response, onChunk func(head ResponseHead, data []byte) error) error {
 	head := ResponseHead{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}
 	buffer := make([]byte, chunkSize)
 	sent := false
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
-			onChunk(head, bytes.Clone(buffer[:n]))
+			if err := onChunk(head, bytes.Clone(buffer[:n])); err != nil {
+				return fmt.Errorf("%w: %v", ErrFailed, err)
+			}
 			sent = true
 		}
 		if errors.Is(err, io.EOF) {
 			if !sent {
-				onChunk(head, nil)
+				return onChunk(head, nil)
 			}
 			return nil
 		}
--- a/host/server/run.go
+++ b/host/server/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -31,6 +32,12 @@
 	// its last frame was sent, or its stream can no longer be resumed.
 	released bool
 	response responseBuffer
+	// sent is the number of the last frame that was written to the stream.
+	sent uint64
+	// dropped is set once the frames are no longer kept: the stream can't go on.
+	dropped bool
+	// stream is that to which frames are written; nil while there is none.
+	stream *http.ResponseController
 }
 
 // responseBuffer holds the response of an attempt with an idempotency key, so that
@@ -99,7 +106,7 @@
 	call.Group = strings.Join(e.Group, ",")
 	call.Model = r.offer.Service == ""
 	call.Fence = s.fencingToken(r.offer.Service)
-	return client.Run(ctx, call, func(head engine.ResponseHead, data []byte) { s.addChunk(r, head, data) })
+	return client.Run(ctx, call, func(head engine.ResponseHead, data []byte) error { return s.addChunk(ctx, r, head, data) })
 }
 
 // clientOf returns the client for the engine or plain service of an attempt, or
@@ -122,8 +129,11 @@
 	return uint64(s.core.StartedAt().UnixMilli())
 }
 
-// addChunk appends a chunk of the response. The core is told of the first one only.
-func (s *Server) addChunk(r *run, head engine.ResponseHead, data []byte) {
+// addChunk appends a chunk of the response, once there is memory for it. The core is told of the first one only.
+func (s *Server) addChunk(ctx context.Context, r *run, head engine.ResponseHead, data []byte) error {
+	if err := s.awaitRoom(ctx, r, int64(len(data))+execution.FrameOverhead); err != nil {
+		return err
+	}
 	var effects []backend.Effect
 	s.mu.Lock()
 	if !r.responding {
@@ -131,13 +141,16 @@
 		s.counters.firstToken.UpdateSince(r.accepted)
 		effects = s.core.FirstToken(time.Now(), r.offer.Attempt)
 	}
-	r.writer.Write(data, head.ContentType, head.Status)
+	if !r.dropped {
+		r.writer.Write(data, head.ContentType, head.Status)
+	}
 	if !r.offer.Key.None() {
 		r.response.add(head, data, s.options.Backend.Ledger.MaxAnswerBytes)
 	}
 	r.notify()
 	s.mu.Unlock()
 	s.executeEffects(effects)
+	return nil
 }
 
 // finish records the outcome of an attempt from the result of its engine call.
@@ -197,6 +210,7 @@
 	if r := s.runs[id]; r != nil {
 		s.release(r)
 	}
+	s.retained.Remove(id)
 	delete(s.runs, id)
 }
 
--- a/host/server/server.go
+++ b/host/server/server.go
@@ -67,12 +67,13 @@
 	mu            sync.Mutex
 	core          *backend.Core
 	runs          map[execution.AttemptID]*run
+	retained      *execution.Retained
 	pauseDetector *membership.PauseDetector
 }
 
 type counters struct {
-	offers, refused, finished, failed, cancelled, orphans, expired metrics.Counter
-	firstToken                                                     metrics.Timer
+	offers, refused, finished, failed, cancelled, orphans, expired, droppedResponses metrics.Counter
+	firstToken                                                                       metrics.Timer
 }
 
 // New returns a daemon that is not yet started; see Start.
@@ -84,6 +85,7 @@
 		services:      newClients(options.Settings.Services),
 		core:          backend.New(time.Now(), options.Backend),
 		runs:          map[execution.AttemptID]*run{},
+		retained:      execution.NewRetained(resources.Memory(responseMemoryShare)),
 		pauseDetector: membership.NewPauseDetector(pauseLimit),
 	}
 	s.Base = process.NewBase(process.BaseOptions{
@@ -114,6 +116,8 @@
 		orphans:    metrics.NewRegisteredCounter("streams.orphaned", r),
 		expired:    metrics.NewRegisteredCounter("leases.expired", r),
 		firstToken: metrics.NewRegisteredTimer("first.token", r),
+
+		droppedResponses: metrics.NewRegisteredCounter("responses.dropped", r),
 	}
 }
 
--- a/host/server/settings.go
+++ b/host/server/settings.go
@@ -16,6 +16,8 @@
 	daemonMemoryShare = 0.35
 	adminSocketShare  = 0.02
 	adminMemoryShare  = 0.02
+	// responseMemoryShare is for the frames of responses, until their streams can no longer be resumed.
+	responseMemoryShare = 0.15
 	// dialSocketShare is for connections to other daemons.
 	dialSocketShare = 0.1
 )
--- a/host/server/stream.go
+++ b/host/server/stream.go
@@ -109,7 +109,7 @@
 	}
 	s.mu.Lock()
 	r := s.runs[id]
-	attached := r != nil && s.core.Attach(id)
+	attached := r != nil && !r.dropped && r.writer.Holds(from) && s.core.Attach(id)
 	s.mu.Unlock()
 	if !attached {
 		http.Error(w, "no such stream", http.StatusNotFound)
@@ -125,30 +125,32 @@
 	controller := http.NewResponseController(w)
 	heartbeat := time.NewTicker(wire.HeartbeatInterval)
 	defer heartbeat.Stop()
+	defer s.holdStream(r, controller)()
 	for {
-		s.mu.Lock()
-		frames, ended := r.writer.From(from)
-		changed := r.changed
-		s.mu.Unlock()
-		for _, frame := range frames {
+		next := s.takeFrames(r, from)
+		for _, frame := range next.frames {
 			if err := s.sendFrame(w, r, frame); err != nil {
 				s.detach(r)
 				return nil
 			}
 			from = frame.Sequence + 1
 		}
-		if err := controller.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		if err := controller.Flush(); next.dropped || err != nil && !errors.Is(err, http.ErrNotSupported) {
 			s.detach(r)
 			return nil
 		}
-		if ended {
+		if next.ended {
 			s.mu.Lock()
 			s.release(r)
+			s.retained.Sent(r.offer.Attempt)
 			s.mu.Unlock()
 			return nil
 		}
+		if next.changed == nil {
+			continue
+		}
 		select {
-		case <-changed:
+		case <-next.changed:
 		case <-heartbeat.C:
 			if err := wire.WriteFrame(w, wire.Heartbeat(r.offer.Request, r.offer.Attempt)); err != nil {
 				s.detach(r)
@@ -161,6 +163,20 @@
 	}
 }
 
+// holdStream makes a stream that of a run until the returned function is called.
+func (s *Server) holdStream(r *run, stream *http.ResponseController) (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.stream = stream
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if r.stream == stream {
+			r.stream = nil
+		}
+	}
+}
+
 func (s *Server) sendFrame(w http.ResponseWriter, r *run, frame execution.Frame) error {
 	m := wire.FromFrame(frame)
 	if frame.Sequence == 1 || frame.Last {
@@ -172,5 +188,7 @@
 func (s *Server) detach(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Detach(time.Now(), r.offer.Attempt)
+	now := time.Now()
+	s.retained.Waits(now, r.offer.Attempt)
+	s.core.Detach(now, r.offer.Attempt)
 }
