Bound the answers that a host keeps under idempotency keys

What callers saw: callers with many keys made a host keep up to 16 KB for each of 100,000 keys for ten minutes, 1.6 GB, and the daemon ended for want of memory.

Cause: the size of an answer and the number of keys had limits, their product none. Beside it each run held a copy of its answer until its stream could not be resumed any more, though the ledger had taken it over.

Change: all kept answers together may take 0.1 of the memory. One beyond it is not kept; its key still never runs twice, and a resend is told that the answer is not there (answer_not_kept), as for one of more than 16 KB.

--- a/core/execution/ledger.go
+++ b/core/execution/ledger.go
@@ -40,8 +40,10 @@
 	StreamLease time.Duration
 	// MaxKeys bounds the number of records.
 	MaxKeys int
-	// MaxAnswerBytes bounds the size of an answer that is kept for resends.
+	// MaxAnswerBytes bounds the size of an answer that is kept for resends, MaxKeptBytes that of all of them together; 0
+	// stands for no limit of these.
 	MaxAnswerBytes int
+	MaxKeptBytes   int64
 }
 
 // DefaultLedgerOptions returns the options used where the settings give none.
@@ -114,6 +116,8 @@
 	open    map[AttemptID]*attempt
 	sweepAt time.Time
 	records map[string]*Record
+	// keptBytes is the size of the answers in records.
+	keptBytes int64
 	// barriers maps a key that was refused as not run to the time until which
 	// no offer with this key is accepted.
 	barriers map[string]time.Time
@@ -278,9 +282,11 @@
 		return
 	}
 	record.Outcome = outcome
-	if len(answer.Body) <= l.options.MaxAnswerBytes {
+	size := int64(len(answer.Body))
+	if size <= int64(l.options.MaxAnswerBytes) && (l.options.MaxKeptBytes == 0 || l.keptBytes+size <= l.options.MaxKeptBytes) {
 		record.Answer = answer
 		record.Answer.Kept = outcome == Finished
+		l.keptBytes += size
 	}
 }
 
--- a/core/execution/record.go
+++ b/core/execution/record.go
@@ -16,7 +16,7 @@
 
 // Answer is the answer of a finished attempt, kept for resends.
 type Answer struct {
-	// Kept is false if the answer exceeded MaxAnswerBytes.
+	// Kept is false if the answer exceeded MaxAnswerBytes, or all together MaxKeptBytes.
 	Kept        bool
 	ContentType string
 	Status      int
@@ -111,6 +111,7 @@
 func (l *Ledger) expireKeys(now time.Time) {
 	for key, record := range l.records {
 		if record.Outcome != 0 && now.Sub(record.created) > l.options.Retention {
+			l.keptBytes -= int64(len(record.Answer.Body))
 			delete(l.records, key)
 		}
 	}
--- a/core/execution/retained_test.go
+++ b/core/execution/retained_test.go
@@ -81,3 +81,26 @@
 	require.True(t, w.HasBeyond(4))
 	require.False(t, w.HasBeyond(5))
 }
+
+// Guards against answers of ever more keys: one beyond the limit of all is not kept, and an expired one makes room.
+func TestKeptAnswersAreBoundedTogether(t *testing.T) {
+	start := time.Unix(5000, 0)
+	options := DefaultLedgerOptions()
+	options.StartedAt, options.MaxKeptBytes = start.Add(-time.Minute), 15
+	l := NewLedger(options, nil)
+	kept := func(now time.Time, id AttemptID) bool {
+		key := Key{ID: string(id), Issued: true, CreatedAt: now}
+		offer := Offer{Attempt: id, Workspace: "w", Service: "s", Key: key, Expires: now.Add(time.Second)}
+		require.Equal(t, Accepted, l.Offer(now, offer, func() *Refusal { return nil }).Verdict)
+		_, refusal := l.OpenStream(now, id, "")
+		require.Nil(t, refusal)
+		require.True(t, l.Start(id))
+		l.Finish(now, id, Finished, Answer{Body: make([]byte, 10)})
+		return l.records[l.recordKey(offer)].Answer.Kept
+	}
+	require.True(t, kept(start, "first"))
+	require.False(t, kept(start, "second"))
+	later := start.Add(2 * options.Retention)
+	l.expireKeys(later)
+	require.True(t, kept(later, "third"))
+}
--- a/host/server/run.go
+++ b/host/server/run.go
@@ -161,6 +161,7 @@
 	}
 	s.mu.Lock()
 	effects := s.core.Finish(time.Now(), r.offer.Attempt, outcome, refusal, r.response.answer())
+	r.response = responseBuffer{} // the ledger holds what is kept of it
 	s.mu.Unlock()
 	if err != nil {
 		s.Log.WithError(err).WithField("attempt", r.offer.Attempt).WithField("engine", engineName).Warn("attempt failed")
--- a/host/server/server.go
+++ b/host/server/server.go
@@ -79,6 +79,7 @@
 // New returns a daemon that is not yet started; see Start.
 func New(options Options) *Server {
 	resources := options.Settings.Resources(DefaultMemoryMB)
+	options.Backend.Ledger.MaxKeptBytes = resources.Memory(answerMemoryShare)
 	s := &Server{
 		options:       options,
 		engines:       newClients(options.Settings.Engines),
--- a/host/server/settings.go
+++ b/host/server/settings.go
@@ -18,6 +18,8 @@
 	adminMemoryShare  = 0.02
 	// responseMemoryShare is for the frames of responses, until their streams can no longer be resumed.
 	responseMemoryShare = 0.15
+	// answerMemoryShare is for the answers that are kept under idempotency keys.
+	answerMemoryShare = 0.1
 	// dialSocketShare is for connections to other daemons.
 	dialSocketShare = 0.1
 )
