Keep requests at serve and arbutus-host from waiting for the log

What callers saw: callers that left during their responses made a host write a line each; once the reader of the log stood still and its pipe was full, no request was answered any more.

Cause: both daemons wrote log and audit trail to their outputs as they ran, under a lock that every line takes.

TestAStalledReaderOfTheLogDelaysNobody: the exit doesn't wait either.

Change: both outputs go through the queue that a forwarding entry has: 1,024 lines and 1 MB each, 1,000 lines a second of the log; lines beyond are dropped and counted (log.lines.dropped). The trail keeps its last events in memory as before. At the exit what is queued is written, for 0.2 s at the most.

--- a/core/process/log.go
+++ b/core/process/log.go
@@ -3,20 +3,18 @@
 import (
 	"io"
 	"maps"
+	"math"
 	"os"
 	"reflect"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 )
 
-// NewLogger returns a logger that writes JSON lines to standard error.
-func NewLogger(level, daemon, name string) *logrus.Entry {
-	return newLogger(os.Stderr, level).WithFields(logrus.Fields{"daemon": daemon, "name": name})
-}
-
 // NewDiscardLogger returns a logger that discards its output, for tests and the
 // demo.
 func NewDiscardLogger() *logrus.Entry { return logrus.NewEntry(newLogger(io.Discard, "error")) }
@@ -153,6 +151,45 @@
 	}
 }
 
+// Outputs are the log of a daemon, on standard error, and its audit trail, on standard output. No line waits for a slow
+// reader.
+type Outputs struct{ Log, Trail *LineWriter }
+
+// Register adds a metric that counts the dropped lines.
+func (o Outputs) Register(registry metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge("log.lines.dropped", registry, func() int64 { return o.Log.Dropped() + o.Trail.Dropped() })
+}
+
+// Limits of Outputs. The trail is not limited by a rate: its last events are kept in memory anyway.
+const (
+	outputBuffer = 1024
+	// maxLogRate and maxTrailRate are in lines per second.
+	maxLogRate   = 1000
+	maxTrailRate = math.MaxInt32
+)
+
+// NewOutputs returns outputs whose lines are written until stop is called, which waits for flushTimeout at the most.
+func NewOutputs() (outputs Outputs, stop func()) {
+	outputs = Outputs{Log: NewLineWriter(os.Stderr, outputBuffer, maxLogRate), Trail: NewLineWriter(os.Stdout, outputBuffer, maxTrailRate)}
+	stopped := make(chan struct{})
+	var writers sync.WaitGroup
+	for _, writer := range []*LineWriter{outputs.Log, outputs.Trail} {
+		writers.Go(func() { _ = writer.Run(stopped) }) // has no errors
+	}
+	return outputs, func() {
+		close(stopped)
+		flushed := make(chan struct{})
+		go func() {
+			writers.Wait()
+			close(flushed)
+		}()
+		select {
+		case <-flushed:
+		case <-time.After(flushTimeout):
+		}
+	}
+}
+
 // NewLineLogger returns a logger that writes JSON lines to out.
 func NewLineLogger(out io.Writer, level, daemon, name string) *logrus.Entry {
 	return newLogger(out, level).WithFields(logrus.Fields{"daemon": daemon, "name": name})
--- a/core/process/log_test.go
+++ b/core/process/log_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -49,3 +51,31 @@
 	require.NoError(t, err)
 	require.Equal(t, dropped, w.Dropped(), "there is room again")
 }
+
+// Guards against a daemon that waits, or does not end, for a reader of its log that has stopped.
+func TestAStalledReaderOfTheLogDelaysNobody(t *testing.T) {
+	unread, log, err := os.Pipe()
+	require.NoError(t, err)
+	stderr := os.Stderr
+	os.Stderr = log
+	t.Cleanup(func() {
+		os.Stderr = stderr
+		_, _ = unread.Close(), log.Close()
+	})
+	outputs, stop := NewOutputs()
+	logger := NewLineLogger(outputs.Log, "info", "daemon", "name")
+	for range 2 * outputBuffer {
+		logger.WithField("text", strings.Repeat("x", maxFieldBytes)).Warn("a line")
+	}
+	require.Positive(t, outputs.Log.Dropped())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the daemon does not end")
+	}
+}
--- a/host/cmd/arbutus-host/main.go
+++ b/host/cmd/arbutus-host/main.go
@@ -42,9 +42,12 @@
 		return err
 	}
 	settings.Resources(server.DefaultMemoryMB).LimitHeap()
-	log := process.NewLogger(settings.LogLevel, "arbutus-host", settings.Name)
-	trail := audit.NewTrail(os.Stdout, audit.DefaultMaxEvents)
+	outputs, stop := process.NewOutputs()
+	defer stop()
+	log := process.NewLineLogger(outputs.Log, settings.LogLevel, "arbutus-host", settings.Name)
+	trail := audit.NewTrail(outputs.Trail, audit.DefaultMaxEvents)
 	daemon := server.New(server.DefaultOptions(*settings, log, trail))
+	outputs.Register(daemon.Registry)
 	log.WithField("incarnation", daemon.Incarnation()).Info("starting")
 	if err := process.Main(ctx, daemon, settings.StopLimitOrDefault()); err != nil {
 		return fmt.Errorf("arbutus-host: %w", err)
