Set the size of the kernel's receive buffer of connections to servers

What callers saw: those that did not read their responses made the kernel of a forwarding entry hold what the server had sent and the entry did not read, beyond the account of its memory.

Cause: the receive buffer of a connection to a server has the system's size, 128 KB and more, and the account had 32 KB for the whole connection.

Change: connections to servers and to other daemons have a receive buffer of 32 KB, which the kernel doubles, and the account charges a request for it: 160 KB in place of 96. Connections to the store keep the system's size.

TestShortFieldsAreChargedForTheirMemory reckons with a limit for one whole request, in which the headers of two others fit now: it opens two before the newest and checks that both are closed, the second one when the newest is whole.

--- a/core/callers/listener_test.go
+++ b/core/callers/listener_test.go
@@ -80,15 +80,20 @@
 func TestShortFieldsAreChargedForTheirMemory(t *testing.T) {
 	limits := unlimited()
 	const fields = 220
-	limits.Memory = ConnectionBytes + RequestBytes + HeaderCost(1000, fields+5) // for one request
+	limits.Memory = ConnectionBytes + RequestBytes + HeaderCost(1000, fields+5) // for one request, or the headers of two
 	l := serve(t, limits, ok)
-	first := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", fields))
-	require.Eventually(t, func() bool { return l.Usage().Memory > HeaderCost(0, fields) }, 20*time.Second, time.Millisecond)
+	var older []net.Conn
+	for i := range 2 {
+		older = append(older, dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", fields)))
+		require.Eventually(t, func() bool { return l.Usage().Memory > int64(i+1)*(ConnectionBytes+HeaderCost(0, fields)) }, 20*time.Second, time.Millisecond)
+	}
 	second := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", fields))
-	require.Empty(t, statusLine(first), "the older one is closed for the newer one")
+	require.Empty(t, statusLine(older[0]), "the oldest one is closed for the newest one")
 	_, err := io.WriteString(second, "Connection: close\r\n\r\n")
 	require.NoError(t, err)
 	require.Equal(t, "HTTP/1.1 200 OK", statusLine(second))
+	require.Empty(t, statusLine(older[1]), "the whole request takes the place of the other one")
+	require.Eventually(t, func() bool { return l.Usage().Connections == 0 }, 20*time.Second, time.Millisecond)
 	limits.Memory = ConnectionBytes + HeaderCost(100, 10)
 	l.SetLimits(limits)
 	require.Equal(t, "HTTP/1.1 503 Service Unavailable", statusLine(dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", fields))))
--- a/core/callers/table.go
+++ b/core/callers/table.go
@@ -57,9 +57,12 @@
 	// ConnectionBytes is held by every connection: the receive buffer, the stack of a goroutine and the two buffers of
 	// net/http.
 	ConnectionBytes = 2*ReceiveBufferBytes + 16<<10
-	// RequestBytes is held besides by a request: the send buffer, and the connection to a server with two goroutines
-	// and their buffers.
-	RequestBytes = 2*SendBufferBytes + 32<<10
+	// ServerReceiveBytes is the size of the kernel's receive buffer of the connection to a server, which fills while the
+	// caller doesn't read.
+	ServerReceiveBytes = 32 << 10
+	// RequestBytes is held besides by a request: the send buffer, and the connection to a server with its receive buffer,
+	// two goroutines and their buffers.
+	RequestBytes = 2*SendBufferBytes + 2*ServerReceiveBytes + 32<<10
 	// fieldBytes is held by a parsed header field besides its text, by the request and its copy to a server: an entry
 	// of a map with its key, and a slice of one value.
 	fieldBytes = 320
--- a/core/netopts/netopts.go
+++ b/core/netopts/netopts.go
@@ -21,6 +21,9 @@
 // seconds.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 2}
 
+// ControlFunc sets options on a socket before it connects or listens, as net.Dialer and net.ListenConfig call it.
+type ControlFunc func(network, address string, connection syscall.RawConn) error
+
 // Control sets UserTimeout on a socket. Accepted sockets inherit it from the
 // listening socket.
 func Control(network, address string, connection syscall.RawConn) error {
@@ -30,7 +33,7 @@
 // ControlFor returns a function that sets a TCP user timeout on a socket. The user
 // timeout also bounds the time for which keep-alive probes stay unanswered: the kernel
 // uses the count of KeepAlive only if no user timeout is set.
-func ControlFor(timeout time.Duration) func(network, address string, connection syscall.RawConn) error {
+func ControlFor(timeout time.Duration) ControlFunc {
 	return func(_, _ string, connection syscall.RawConn) error {
 		var optionErr error
 		err := connection.Control(func(fd uintptr) {
@@ -43,10 +46,22 @@
 	}
 }
 
+// ReceiveControl returns a function that calls control and sets the size in bytes of the kernel's receive buffer of a
+// connection that this process opens. Without it the sender decides how much the kernel holds while nothing is read.
+func ReceiveControl(receiveBytes int, control ControlFunc) ControlFunc {
+	return func(network, address string, connection syscall.RawConn) error {
+		var optionErr error
+		err := connection.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+		})
+		return errors.Join(err, optionErr, control(network, address, connection))
+	}
+}
+
 // CallerControl returns a function that sets UserTimeout on a listening socket, and the sizes in bytes of the kernel's
 // receive buffer and send buffer of each connection that it accepts. Without them a caller decides how much the kernel
 // holds for its connection, up to megabytes.
-func CallerControl(receiveBytes, sendBytes int) func(network, address string, connection syscall.RawConn) error {
+func CallerControl(receiveBytes, sendBytes int) ControlFunc {
 	return func(network, address string, connection syscall.RawConn) error {
 		var optionErr error
 		err := connection.Control(func(fd uintptr) {
--- a/core/process/run.go
+++ b/core/process/run.go
@@ -42,7 +42,7 @@
 	return listen(address, netopts.CallerControl(callers.ReceiveBufferBytes, callers.SendBufferBytes))
 }
 
-func listen(address string, control func(network, address string, connection syscall.RawConn) error) (net.Listener, error) {
+func listen(address string, control netopts.ControlFunc) (net.Listener, error) {
 	options := net.ListenConfig{KeepAliveConfig: netopts.KeepAlive, Control: control}
 	listener, err := options.Listen(context.Background(), "tcp", address)
 	if errors.Is(err, syscall.EADDRINUSE) {
--- a/core/wire/client.go
+++ b/core/wire/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/quarantine"
@@ -34,7 +35,7 @@
 // NewDialer returns a dialer. dialTimeout bounds the opening of a connection, maxConnections the number of open ones, of
 // which a quarter may be idle.
 func NewDialer(secret string, dialTimeout time.Duration, maxConnections int) *Dialer {
-	connections := netopts.NewLimitedDialer(&netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: netopts.KeepAlive, Control: netopts.Control}, RunTimeout: dialTimeout})
+	connections := netopts.NewLimitedDialer(&netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: netopts.KeepAlive, Control: netopts.ReceiveControl(callers.ServerReceiveBytes, netopts.Control)}, RunTimeout: dialTimeout})
 	connections.SetLimit(maxConnections)
 	transport := &http.Transport{
 		DialContext:           connections.DialContext,
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -152,7 +152,7 @@
 	admin.RegisterRuntime(s.registry)
 	s.manager = lifecycle.NewManager(s.stateChanged)
 	s.callers = s.newCallerListener()
-	s.serverDialer = netopts.NewLimitedDialer(newDialer())
+	s.serverDialer = netopts.NewLimitedDialer(newDialer(netopts.ReceiveControl(callers.ServerReceiveBytes, serverControl)))
 	s.transport = newTransport(s.serverDialer)
 	s.orderClient = &http.Client{Transport: newTransport(s.serverDialer)}
 	peers := peerServices{s}
@@ -222,9 +222,9 @@
 	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 }
 
-// newDialer returns the dialer for connections to backend servers and to the store.
-func newDialer() *netopts.Dialer {
-	return &netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: serverKeepAlive, Control: netopts.ControlFor(serverUserTimeout)}, RunTimeout: dialTimeout}
+// newDialer returns a dialer for connections to backend servers or to the store.
+func newDialer(control netopts.ControlFunc) *netopts.Dialer {
+	return &netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: serverKeepAlive, Control: control}, RunTimeout: dialTimeout}
 }
 
 // serverUserTimeout bounds the time for which a backend server or the store may leave data
@@ -234,6 +234,9 @@
 // kernel has one limit for both, and a longer one would delay the detection of those that are cut off.
 const serverUserTimeout = 1700 * time.Millisecond
 
+// serverControl sets serverUserTimeout on a connection.
+var serverControl = netopts.ControlFor(serverUserTimeout)
+
 // serverKeepAlive probes connections on which nothing is sent. The kernel counts in whole seconds,
 // so that an unresponsive peer is detected after two.
 var serverKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
@@ -245,7 +248,7 @@
 
 // storeClient returns a client that reuses its connection to the store.
 func storeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: newDialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
+	return &http.Client{Transport: &http.Transport{DialContext: newDialer(serverControl).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
 		IdleConnTimeout: storeIdleTimeout}}
 }
 
--- a/entry/gateway/unresponsive_test.go
+++ b/entry/gateway/unresponsive_test.go
@@ -29,7 +29,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
-	connection, err := newDialer().Dial("tcp", listener.Addr().String())
+	connection, err := newDialer(serverControl).Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	defer func() { require.NoError(t, connection.Close()) }()
 	raw, err := connection.(*net.TCPConn).SyscallConn()
