Accept responses only if HTTP allows their heads

What callers saw: an answer whose head is none of HTTP's was passed on as the server's: with a status of 600, with a line whose name holds a blank, or with a body that was not the server's, as the framing was guessed (chunks after "Transfer-Encoding :", chunks of HTTP/1.0, a length and chunks). A status of 000 or 099 ended the caller's connection by a panic of net/http, where a request that may be repeated could have been; a switch of protocols was passed on as a response without end.

Cause: net/http accepts more of a server than the grammar allows: each three characters that are a number of 0 or more, each version, blanks in names, control bytes in the reason, folded lines, and contradictory framing, which it resolves by itself. All clients of the daemons read through it and check no head.

TestTheGrammarDecides replaces each byte of a head by each other one and compares the verdict with the grammar.

Change: core/responses checks the bytes of each head, and of each interim response, as they are read: version 1.x, status from 100 to 599, names, values, lengths, and framing that contradicts itself. What fails is an error of the read, so it ends an attempt like a broken connection: a request that may be repeated is, within its budget, and another one gets 502 and no promise. The check knows where a head begins as it is told of each request that takes a connection; bytes before the request are refused. All clients use it: requests and orders to servers, the store, other daemons, engines and plain services, the platform of the product's own interface, and the operators' commands. net/http sends some requests again by itself if it has read no byte; a malformed head delivers one, so that this stays with the budget. Strict readings where RFC 9112 lets a recipient choose: line ends are CRLF, a folded line and a status line without its second blank are malformed.

--- a/core/commands/operator.go
+++ b/core/commands/operator.go
@@ -18,6 +18,7 @@
 
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/process"
+	"arbutusdeck/core/responses"
 )
 
 // errConfigRejected is returned for an invalid configuration folder. It has its own
@@ -191,7 +192,9 @@
 		return fmt.Errorf("%w: %v", errUsage, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.String("token"))
-	response, err := http.DefaultClient.Do(request)
+	client := responses.NewClient()
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("the daemon did not answer: %w", err)
 	}
--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"arbutusdeck/core/config"
+	"arbutusdeck/core/responses"
 )
 
 // Errors of Client.
@@ -66,7 +67,7 @@
 		options.Timeout = DefaultTimeout
 	}
 	if options.HTTP == nil {
-		options.HTTP = &http.Client{}
+		options.HTTP = responses.NewClient()
 	}
 	return &Client{options}
 }
--- a/core/wire/client.go
+++ b/core/wire/client.go
@@ -14,6 +14,7 @@
 	"arbutusdeck/core/config"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/quarantine"
+	"arbutusdeck/core/responses"
 )
 
 // Authorization between daemons.
@@ -37,14 +38,14 @@
 func NewDialer(secret string, dialTimeout time.Duration, maxConnections int) *Dialer {
 	connections := netopts.NewLimitedDialer(&netopts.Dialer{Dialer: net.Dialer{KeepAliveConfig: netopts.KeepAlive, Control: netopts.ReceiveControl(callers.ServerReceiveBytes, netopts.Control)}, RunTimeout: dialTimeout})
 	connections.SetLimit(maxConnections)
-	transport := &http.Transport{
+	transport := responses.NewTransport(&http.Transport{
 		DialContext:           connections.DialContext,
 		MaxIdleConns:          max(1, maxConnections/4),
 		MaxIdleConnsPerHost:   64,
 		IdleConnTimeout:       90 * time.Second,
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
-	}
+	})
 	return &Dialer{http: &http.Client{Transport: authorized{transport, secret}}, connections: connections, secret: secret, hosts: map[string]HostDaemon{}}
 }
 
--- a/entry/gateway/server.go
+++ b/entry/gateway/server.go
@@ -32,6 +32,7 @@
 	"arbutusdeck/core/process"
 	"arbutusdeck/core/quarantine"
 	"arbutusdeck/core/ratelimit"
+	"arbutusdeck/core/responses"
 	"arbutusdeck/core/retryafter"
 	"arbutusdeck/core/routes"
 	"arbutusdeck/core/zonerouting"
@@ -62,7 +63,7 @@
 	traffic     *peerlink.Traffic
 	// serverDialer opens the connections of transport and orderClient.
 	serverDialer *netopts.LimitedDialer
-	transport    *http.Transport
+	transport    http.RoundTripper
 	orderClient  *http.Client
 	table        atomic.Pointer[routes.Table]
 	started      chan struct{}             // closed when this entry leaves the Starting state
@@ -218,8 +219,8 @@
 // connection that the server is about to close, a request may be lost without evidence whether it
 // ran, and a duplicate or late response would be taken for that of the next request. A new
 // connection costs a millisecond.
-func newTransport(dialer *netopts.LimitedDialer) *http.Transport {
-	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+func newTransport(dialer *netopts.LimitedDialer) http.RoundTripper {
+	return responses.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true})
 }
 
 // newDialer returns a dialer for connections to backend servers or to the store.
@@ -248,8 +249,8 @@
 
 // storeClient returns a client that reuses its connection to the store.
 func storeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: newDialer(serverControl).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
-		IdleConnTimeout: storeIdleTimeout}}
+	return &http.Client{Transport: responses.NewTransport(&http.Transport{DialContext: newDialer(serverControl).DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: storeIdleTimeout})}
 }
 
 func (s *Server) applyRuntime(settings Settings) {
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -18,6 +18,7 @@
 	"arbutusdeck/core/memory"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/orders"
+	"arbutusdeck/core/responses"
 )
 
 // Errors returned by Client, wrapped with the cause.
@@ -53,11 +54,11 @@
 
 // NewClient returns a client for a base URL such as http://127.0.0.1:8000.
 func NewClient(base string) *Client {
-	transport := &http.Transport{
+	transport := responses.NewTransport(&http.Transport{
 		DialContext:         (&netopts.Dialer{RunTimeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
-	}
+	})
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
