Account for the events of streams

What callers saw: requests that ended with the process. Servers that send an event of almost the largest size and then nothing more made an entry hold a megabyte and its copies for each stream; with 400 of them it took 499 MB, and the smallest host has 184.

Cause: an event is passed on whole, so that a part of one reaches no caller. Its buffer grows up to maxEventBytes, which is a bound for one stream only; no account held it.

Change: the reader of events reserves the memory of an event beyond 4 KB at its caller's connection, as buffered responses do. If there is none, the attempt is broken like a connection, and its server is not blamed.

--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -11,13 +11,18 @@
 	"strings"
 	"time"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/placement"
 	"arbutusdeck/platform"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventCopies is the number of copies of an event that are held while its buffer grows.
+	eventCopies = 2
+)
 
 var errEventTooLarge = errors.New("an event of the stream is too large")
 
@@ -25,6 +30,16 @@
 // event leaves no partial event with the caller.
 type eventReader struct {
 	in *bufio.Reader
+	// reserve reserves memory for the buffer of an event, of which reserved bytes are.
+	reserve  func(bytes int64) bool
+	reserved int64
+}
+
+// usualEventBytes is the size of an event without a reservation.
+const usualEventBytes = 4 << 10
+
+func newEventReader(in io.Reader, reserve func(bytes int64) bool) *eventReader {
+	return &eventReader{in: bufio.NewReader(in), reserve: reserve, reserved: usualEventBytes}
 }
 
 // event is one event as received, with the blank line that ends it.
@@ -46,10 +61,10 @@
 			}
 			return event{}, err
 		}
-		raw = append(raw, line...)
-		if len(raw) > maxEventBytes {
-			return event{}, errEventTooLarge
+		if err := r.makeRoom(len(raw) + len(line)); err != nil {
+			return event{}, err
 		}
+		raw = append(raw, line...)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 && err == nil {
 			return event{raw: raw, id: id}, nil
@@ -60,11 +75,25 @@
 	}
 }
 
+// makeRoom reserves the memory of an event of a size.
+func (r *eventReader) makeRoom(size int) error {
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if needed := int64(size) * eventCopies; needed > r.reserved {
+		if !r.reserve(needed - r.reserved) {
+			return callers.ErrMemoryFull
+		}
+		r.reserved = needed
+	}
+	return nil
+}
+
 // readStream relays events as they arrive. The headers of the first server remain those of the
 // response, even if another server resumes the stream.
 func (e *exchange) readStream(ctx context.Context, choice placement.Choice, progress *firstEventWait, response *http.Response) attemptResult {
 	server := choice.Server.IncarnationID()
-	reader := &eventReader{in: bufio.NewReader(response.Body)}
+	reader := newEventReader(response.Body, e.connection.Reserve)
 	controller := http.NewResponseController(e.w)
 	firstEventAt := time.Time{}
 	for {
@@ -77,7 +106,7 @@
 			return result
 		}
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !errors.Is(err, callers.ErrMemoryFull) {
 				e.s.recordFailure(server)
 			}
 			result := e.connectionBroken(ctx, server, err, fmt.Sprintf("stream: %v", err))
