Bound what daemons read of orders, the store, engines and each other

What callers saw: nothing yet. A daemon that reads a reply, a list, or the answer to a control request without end took memory until a timeout, and one to an order counted as carried out after its first 64 KB.

Evidence: ForEachEndless of core/responses/responsestest sends seven kinds of responses without end and counts what is taken. Red on the code before: calls between daemons (a body, chunks and a failure took more than 92 MB), engines (a body and chunks), the operators' commands (the test process did not survive). The platform's client of the product's own interface was bounded already; its test stays.

What is larger, or breaks off, is an error. An order whose response breaks off has no answer, whatever its status.

--- a/core/commands/operator.go
+++ b/core/commands/operator.go
@@ -183,6 +183,9 @@
 // adminTimeout bounds a call to a daemon's administration API.
 const adminTimeout = 10 * time.Second
 
+// maxAdminResponse bounds a response, in bytes.
+const maxAdminResponse = 32 << 20
+
 // printAdmin prints the response of a daemon's administration API to a GET request.
 func printAdmin(ctx context.Context, c *cli.Command, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
@@ -199,7 +202,7 @@
 		return fmt.Errorf("the daemon did not answer: %w", err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAdminResponse))
 	if err != nil {
 		return fmt.Errorf("the daemon's answer broke off: %w", err)
 	}
--- a/core/commands/operator_test.go
+++ b/core/commands/operator_test.go
@@ -26,3 +26,12 @@
 	require.ErrorIs(t, err, responses.ErrMalformed)
 	require.Empty(t, printed)
 }
+
+// Guards against a command that takes all memory.
+func TestAResponseWithoutEndIsNoStatus(t *testing.T) {
+	responsestest.ForEachEndless(t, func(t *testing.T, url string) {
+		printed, err := status(t, url)
+		require.Error(t, err)
+		require.Empty(t, printed)
+	})
+}
--- a/core/platform/client_test.go
+++ b/core/platform/client_test.go
@@ -18,3 +18,12 @@
 	_, err = client.Hosts(t.Context())
 	require.ErrorIs(t, err, ErrUnavailable)
 }
+
+// Guards against a platform, or what stands at its address, that sends without end.
+func TestResponsesWithoutEndAreNotThoseOfThePlatform(t *testing.T) {
+	responsestest.ForEachEndless(t, func(t *testing.T, url string) {
+		client := NewClient(Options{BaseURL: url})
+		_, err := client.Hosts(t.Context())
+		require.ErrorIs(t, err, ErrUnavailable)
+	})
+}
--- a/core/wire/client.go
+++ b/core/wire/client.go
@@ -25,7 +25,9 @@
 
 // Dialer makes the calls between daemons, authenticated by the shared secret.
 type Dialer struct {
-	http        *http.Client
+	// http is for streams, the others for calls with replies of different sizes.
+	http, calls, snapshots, exchanges *http.Client
+
 	connections *netopts.LimitedDialer
 	secret      string
 
@@ -46,7 +48,39 @@
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
 	})
-	return &Dialer{http: &http.Client{Transport: authorized{transport, secret}}, connections: connections, secret: secret, hosts: map[string]HostDaemon{}}
+	streams := authorized{transport, secret}
+	return &Dialer{http: &http.Client{Transport: streams}, calls: newCaller(streams, maxReply), snapshots: newCaller(streams, maxSnapshotReply),
+		exchanges: newCaller(streams, maxExchangeReply), connections: connections, secret: secret, hosts: map[string]HostDaemon{}}
+}
+
+// Limits of the replies of daemons, in bytes.
+const (
+	// maxReply is for calls of host daemons. The largest reply has an answer that was kept under an idempotency key.
+	maxReply = 64 << 10
+	// maxSnapshotReply is for a configuration, or a view of entries.
+	maxSnapshotReply = 8 << 20
+	// maxExchangeReply is for the records of a quarantine.
+	maxExchangeReply = 4 << 20
+)
+
+// newCaller returns a client for calls whose replies are bounded.
+func newCaller(next http.RoundTripper, most int64) *http.Client {
+	return &http.Client{Transport: boundedReplies{next, most}}
+}
+
+// boundedReplies fails the reading of a larger reply. The generated clients read whatever comes.
+type boundedReplies struct {
+	next http.RoundTripper
+	most int64
+}
+
+func (b boundedReplies) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := b.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, b.most)
+	return response, nil
 }
 
 // authorized adds the daemons' credential to each call.
@@ -79,7 +113,7 @@
 		if len(d.hosts) >= maxClients {
 			clear(d.hosts)
 		}
-		client = NewHostDaemonProtobufClient("http://"+address, d.http)
+		client = NewHostDaemonProtobufClient("http://"+address, d.calls)
 		d.hosts[address] = client
 	}
 	return client
@@ -92,7 +126,7 @@
 func (d *Dialer) FetchSnapshot(ctx context.Context, peer config.Peer, above uint64) (uint64, []config.File, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	reply, err := NewPeerProtobufClient("http://"+peer.Address, d.http).Snapshot(ctx, &SnapshotRequest{AboveRevision: above})
+	reply, err := NewPeerProtobufClient("http://"+peer.Address, d.snapshots).Snapshot(ctx, &SnapshotRequest{AboveRevision: above})
 	if err != nil {
 		return 0, nil, fmt.Errorf("peer %s: %w", peer.Name, err)
 	}
@@ -107,7 +141,7 @@
 func (d *Dialer) ExchangeQuarantine(ctx context.Context, peer config.Peer, envelope *Envelope, records []quarantine.Record) ([]quarantine.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	reply, err := NewEntryProtobufClient("http://"+peer.Address, d.http).Quarantine(ctx, &QuarantineExchange{Envelope: envelope, Records: fromRecords(records)})
+	reply, err := NewEntryProtobufClient("http://"+peer.Address, d.exchanges).Quarantine(ctx, &QuarantineExchange{Envelope: envelope, Records: fromRecords(records)})
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", peer.Name, err)
 	}
--- a/core/wire/frames.go
+++ b/core/wire/frames.go
@@ -12,8 +12,8 @@
 	"arbutusdeck/core/execution"
 )
 
-// MaxFrame is the largest frame on a stream, in bytes.
-const MaxFrame = 1 << 20
+// MaxFrame is the largest frame on a stream, in bytes. Host daemons send pieces of half the size.
+const MaxFrame = 64 << 10
 
 // FrameType is the media type of an answer stream.
 const FrameType = "application/vnd.arbutusdeck.frames"
--- a/entry/peerlink/link.go
+++ b/entry/peerlink/link.go
@@ -59,6 +59,9 @@
 	// suspects are the entries that were suspect at the last heartbeat.
 	suspects []string
 
+	// decoding is held while a fetched view is decoded.
+	decoding sync.Mutex
+
 	// addressesMu guards addresses, the resolved addresses of the peers.
 	addressesMu sync.Mutex
 	addresses   map[string]net.Addr
--- a/entry/peerlink/view.go
+++ b/entry/peerlink/view.go
@@ -43,7 +43,7 @@
 		if file.Name != viewFile {
 			continue
 		}
-		v, err := decodeView(file.Content)
+		v, err := l.decode(file.Content)
 		if err != nil {
 			return fmt.Errorf("decoding the view of %s: %w", peer, err)
 		}
@@ -57,6 +57,13 @@
 	return nil
 }
 
+// decode decodes a view, one at a time: each may take many times its compressed size.
+func (l *Link) decode(content []byte) (View, error) {
+	l.decoding.Lock()
+	defer l.decoding.Unlock()
+	return decodeView(content)
+}
+
 // Snapshot returns this entry's view to another one, without the configuration if that entry has
 // it.
 func (l *Link) Snapshot(_ context.Context, request *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
--- a/entry/peerlink/viewcache.go
+++ b/entry/peerlink/viewcache.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -82,7 +83,10 @@
 var gzipMagic = []byte{0x1f, 0x8b}
 
 // maxViewBytes bounds a decompressed view: a fleet of ten thousand servers takes a few megabytes.
-const maxViewBytes = 64 << 20
+const maxViewBytes = 16 << 20
+
+// errViewTooLarge is returned for a larger view.
+var errViewTooLarge = errors.New("the view is too large")
 
 // decodeView decodes a view, also an uncompressed one, as earlier versions send it.
 func decodeView(content []byte) (View, error) {
@@ -95,6 +99,13 @@
 	if err != nil {
 		return v, err
 	}
-	err = json.NewDecoder(io.LimitReader(decompressor, maxViewBytes)).Decode(&v)
+	decompressed, err := io.ReadAll(io.LimitReader(decompressor, maxViewBytes+1))
+	if err != nil {
+		return v, err
+	}
+	if len(decompressed) > maxViewBytes {
+		return v, errViewTooLarge
+	}
+	err = json.Unmarshal(decompressed, &v)
 	return v, err
 }
--- a/entry/peerlink/viewcache_test.go
+++ b/entry/peerlink/viewcache_test.go
@@ -1,6 +1,8 @@
 package peerlink
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -57,6 +59,25 @@
 	require.Len(t, cache.views, 1, "the others are evicted")
 }
 
+// Guards against a view that takes all memory when it is decompressed.
+func TestAViewWithoutEndIsNotRead(t *testing.T) {
+	var content bytes.Buffer
+	compressor := gzip.NewWriter(&content)
+	blanks := make([]byte, 1<<20)
+	for i := range blanks {
+		blanks[i] = ' '
+	}
+	for range maxViewBytes/len(blanks) + 1 {
+		_, err := compressor.Write(blanks)
+		require.NoError(t, err)
+	}
+	_, err := compressor.Write([]byte("{}"))
+	require.NoError(t, err)
+	require.NoError(t, compressor.Close())
+	_, err = decodeView(content.Bytes())
+	require.ErrorIs(t, err, errViewTooLarge)
+}
+
 // During a rolling update some entries send views that are not compressed.
 func TestAViewIsReadAsItIsSent(t *testing.T) {
 	v := largeView(3)
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -297,6 +297,9 @@
 	return load, err
 }
 
+// maxControlResponse bounds the response to a control request, in bytes. The largest is a list of cache events.
+const maxControlResponse = 4 << 20
+
 func (c *Client) control(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
@@ -315,6 +318,7 @@
 		return callError(err)
 	}
 	defer response.Body.Close()
+	response.Body = http.MaxBytesReader(nil, response.Body, maxControlResponse)
 	return decodeControl(response, out)
 }
 
@@ -327,11 +331,11 @@
 	case response.StatusCode/100 != 2:
 		return fmt.Errorf("%w: status %d", ErrFailed, response.StatusCode)
 	}
-	if out == nil {
-		_, _ = io.Copy(io.Discard, response.Body)
-		return nil
+	body, err := io.ReadAll(response.Body)
+	if err == nil && out != nil {
+		err = json.Unmarshal(body, out)
 	}
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+	if err != nil {
 		return fmt.Errorf("%w: %v", ErrFailed, err)
 	}
 	return nil
--- a/host/engine/client_test.go
+++ b/host/engine/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,3 +49,22 @@
 	_, err = client.State(t.Context())
 	require.ErrorIs(t, err, ErrFailed)
 }
+
+// Guards against engines that send without end in the head of a response, or in one to an order or a question.
+func TestResponsesWithoutEndAreNoAnswers(t *testing.T) {
+	responsestest.ForEachEndless(t, func(t *testing.T, url string) {
+		client := NewClient(url)
+		_, err := client.State(t.Context())
+		require.ErrorIs(t, err, ErrFailed)
+		require.ErrorIs(t, client.Order(t.Context(), orders.Order{}), ErrFailed)
+		errLong := errors.New("the response is long")
+		read := 0
+		err = client.Run(t.Context(), Call{Method: http.MethodPost, Path: "/"}, func(_ ResponseHead, data []byte) error {
+			if read += len(data); read > 1<<20 {
+				return errLong
+			}
+			return nil
+		})
+		require.ErrorIs(t, err, ErrFailed)
+	})
+}
