Account for the responses that an entry collects

What callers saw: requests that ended with an entry of the product's own interface. For a caller that doesn't ask for a stream the entry collects the events of an engine; one that sends an event or events without end made it take 382 and 804 MB with 40 callers.

Cause: memory was reserved for the tokens that were asked for, and the text was collected whatever came.

Change: the sink reserves what it collects beyond the first reservation. If there is no memory the request ends with engine_failed and an unknown outcome. So far an error of the sink meant that the caller had disconnected.

--- a/core/execution/events.go
+++ b/core/execution/events.go
@@ -4,7 +4,7 @@
 
 // Event is an input of Request.Step. The Event types are RequestStarted, Picked,
 // NoTarget, OfferAnswered, OfferLost, FrameArrived, StreamBroken, CancelAnswered,
-// CancelLost, DeadlinePassed, EntryStopping and CallerDisconnected.
+// CancelLost, DeadlinePassed, EntryStopping, CallerDisconnected and ResponseTooLarge.
 type Event interface{ event() }
 
 func (RequestStarted) event()     {}
@@ -19,6 +19,7 @@
 func (DeadlinePassed) event()     {}
 func (EntryStopping) event()      {}
 func (CallerDisconnected) event() {}
+func (ResponseTooLarge) event()   {}
 
 type (
 	// RequestStarted starts the request.
@@ -57,6 +58,8 @@
 	EntryStopping struct{ Refusal Refusal }
 	// CallerDisconnected reports that nobody waits for the answer any more.
 	CallerDisconnected struct{}
+	// ResponseTooLarge reports that a response can't be collected for its caller.
+	ResponseTooLarge struct{ Refusal Refusal }
 )
 
 // Action is an output of Request.Step that the adapter carries out. The Action
--- a/core/execution/request.go
+++ b/core/execution/request.go
@@ -117,6 +117,8 @@
 		return r.onEntryStopping(now, e.Refusal)
 	case CallerDisconnected:
 		return r.abort(Refusal{Code: CodeCallerGone})
+	case ResponseTooLarge:
+		return r.abort(e.Refusal)
 	}
 	return nil
 }
--- a/entry/server/completions.go
+++ b/entry/server/completions.go
@@ -12,9 +12,8 @@
 	"arbutusdeck/core/quarantine"
 )
 
-// answerTokenBytes is the memory of a token of a response that is collected before it is sent, in bytes: its text, and a
-// copy while the buffer grows.
-const answerTokenBytes = 32
+// answerTokenBytes is the text of a token of a response that is collected before it is sent, in bytes.
+const answerTokenBytes = 16
 
 // complete serves a completion request; field is the name of the field with the prompt.
 func (s *Server) complete(c *call, field string) error {
@@ -47,15 +46,24 @@
 	t.options.Buffered = !parsed.Stream.value
 	t.fingerprint = quarantine.FingerprintOf(c.workspace, http.MethodPost, name, c.r.URL.Path, data)
 	t.body, t.release = enableStream(data, parsed.Stream), release
-	t.sink = newBufferedSink(c.w, field == "messages")
-	if parsed.Stream.value {
-		t.sink = newPassthroughSink(c.w)
-	} else if !callers.ConnOf(c.r.Request).Reserve(t.offer.AnswerTokens * answerTokenBytes) {
-		return &refusedError{memoryRefusal}
+	if t.sink, err = newCompletionSink(c, t, field == "messages"); err != nil {
+		return err
 	}
 	return s.admitAndRun(c, t)
 }
 
+// newCompletionSink returns the sink of a completion request. It reserves memory for a response that is collected.
+func newCompletionSink(c *call, t *task, chat bool) (sink, error) {
+	if !t.options.Buffered {
+		return newPassthroughSink(c.w), nil
+	}
+	memory := &collectedMemory{reserve: callers.ConnOf(c.r.Request).Reserve}
+	if memory.grow(int(t.offer.AnswerTokens)*answerTokenBytes) != nil {
+		return nil, &refusedError{memoryRefusal}
+	}
+	return newBufferedSink(c.w, chat, memory), nil
+}
+
 // completionTask returns the task of a completion request.
 func (s *Server) completionTask(c *call, name string, kind config.Kind, parsed completion, prompt *measuredValue, hash uint64) (*task, error) {
 	tokens := int64(float64(prompt.bytes)/s.options.Settings.BytesPerToken) + 1
--- a/entry/server/driver.go
+++ b/entry/server/driver.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/execution"
 	"arbutusdeck/core/lifecycle"
 	"arbutusdeck/core/netopts"
@@ -65,6 +66,9 @@
 var connectionsRefusal = execution.Refusal{Code: execution.CodeQueueFull, Detail: "the connections to hosts take all the descriptors that they may",
 	RetryAfter: time.Second}
 
+// responseRefusal is the refusal of requests whose response can't be collected.
+var responseRefusal = execution.Refusal{Code: execution.CodeEngineFailed, Detail: "the response takes more memory than there is"}
+
 // drive runs a request and writes its response. It returns as soon as the request's state
 // machine has reached a conclusion.
 func (s *Server) drive(ctx context.Context, t *task) execution.Conclusion {
@@ -118,7 +122,7 @@
 				d.t.sink.discard()
 			case execution.Deliver:
 				if err := d.deliver(a.Frame); err != nil {
-					pending = append(pending, execution.CallerDisconnected{})
+					pending = append(pending, notDelivered(err))
 				}
 			case execution.Conclude:
 				return a.Conclusion, true
@@ -128,6 +132,14 @@
 	return execution.Conclusion{}, false
 }
 
+// notDelivered returns the event of a frame that the sink has not taken.
+func notDelivered(err error) execution.Event {
+	if errors.Is(err, callers.ErrMemoryFull) {
+		return execution.ResponseTooLarge{Refusal: responseRefusal}
+	}
+	return execution.CallerDisconnected{}
+}
+
 // send passes an event to the loop of drive, unless the request has been concluded.
 func (d *driver) send(event execution.Event) {
 	select {
--- a/entry/server/sink.go
+++ b/entry/server/sink.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/execution"
 )
 
@@ -76,13 +77,38 @@
 	finishReason string
 	chat         bool
 	passthrough  *passthroughSink // set if the engine's response is not an event stream
+	memory       *collectedMemory
 }
 
-func newBufferedSink(w http.ResponseWriter, chat bool) *bufferedSink {
-	return &bufferedSink{w: w, chat: chat}
+// newBufferedSink returns a sink whose response takes the memory that is given.
+func newBufferedSink(w http.ResponseWriter, chat bool, memory *collectedMemory) *bufferedSink {
+	return &bufferedSink{w: w, chat: chat, memory: memory}
 }
 
-func (s *bufferedSink) discard() { *s = *newBufferedSink(s.w, s.chat) }
+func (s *bufferedSink) discard() { *s = *newBufferedSink(s.w, s.chat, s.memory) }
+
+// collectedMemory is the memory of a response that is collected.
+type collectedMemory struct {
+	// reserve reserves more memory, reserved is what has been.
+	reserve  func(bytes int64) bool
+	reserved int64
+}
+
+// collectedCopies is the number of copies of a response's text while its buffers grow.
+const collectedCopies = 2
+
+// grow reserves memory for a text of a size, or returns callers.ErrMemoryFull: an engine may send without end.
+func (m *collectedMemory) grow(size int) error {
+	needed := int64(size) * collectedCopies
+	if needed <= m.reserved {
+		return nil
+	}
+	if !m.reserve(needed - m.reserved) {
+		return callers.ErrMemoryFull
+	}
+	m.reserved = needed
+	return nil
+}
 
 const eventStream = "text/event-stream"
 
@@ -93,6 +119,9 @@
 	if s.passthrough != nil {
 		return s.passthrough.write(frame)
 	}
+	if err := s.memory.grow(s.text.Len() + len(s.pending) + len(frame.Payload)); err != nil {
+		return err
+	}
 	s.pending = append(s.pending, frame.Payload...)
 	for {
 		event, rest, found := bytes.Cut(s.pending, []byte("\n\n"))
