Set the size of the kernel's receive buffer of connections to engines

Cause: where there is no room for more of a response the host stops reading, and the kernel goes on to receive up to megabytes for each connection. Entries set the size of this buffer for their connections to servers and hosts, hosts did not for theirs to engines.

Evidence: TestOwnResponsesWithoutEndStayWithinTheMemory, a fleet of one host and one entry with five kinds of responses without end, each daemon in turn with 184 MB.

Change: as for the other connections, ServerReceiveBytes. The user timeout is not set: an engine may leave a prompt unread for longer.

--- a/core/netopts/netopts.go
+++ b/core/netopts/netopts.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// NoControl leaves a socket as it is.
+func NoControl(string, string, syscall.RawConn) error { return nil }
+
 // ReceiveControl returns a function that calls control and sets the size in bytes of the kernel's receive buffer of a
 // connection that this process opens. Without it the sender decides how much the kernel holds while nothing is read.
 func ReceiveControl(receiveBytes int, control ControlFunc) ControlFunc {
--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"arbutusdeck/core/callers"
 	"arbutusdeck/core/memory"
 	"arbutusdeck/core/netopts"
 	"arbutusdeck/core/orders"
@@ -54,8 +55,9 @@
 
 // NewClient returns a client for a base URL such as http://127.0.0.1:8000.
 func NewClient(base string) *Client {
+	dialer := &netopts.Dialer{Dialer: net.Dialer{Control: netopts.ReceiveControl(callers.ServerReceiveBytes, netopts.NoControl)}, RunTimeout: dialTimeout}
 	transport := responses.NewTransport(&http.Transport{
-		DialContext:         (&netopts.Dialer{RunTimeout: dialTimeout}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 	})
--- a/proof/processes/endless_test.go
+++ b/proof/processes/endless_test.go
@@ -1,7 +1,9 @@
 package processes
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +12,7 @@
 
 	"arbutusdeck/entry/gateway"
 	"arbutusdeck/platform/standin"
+	"arbutusdeck/standin/fleet"
 )
 
 // Servers that send without end, and the callers whose requests they get.
@@ -122,6 +125,73 @@
 	f.requireWithinLimits(entry.Name, usage, smallestHostMB, hostDescriptors)
 }
 
+// endlessMarker is in the body of the requests to which the engines and services of a fleet respond without end.
+const endlessMarker = "without end"
+
+// ownEndlessResponses are responses of engines and services at the product's own interface.
+var ownEndlessResponses = []endlessResponse{
+	{name: "a field", begin: "HTTP/1.1 200 OK\r\nX-Field: x", piece: "x"},
+	{name: "very many short fields", begin: "HTTP/1.1 200 OK\r\n", piece: shortFields(endlessBytes)},
+	{name: "an event", begin: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", piece: "data: x"},
+	{name: "events", begin: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		piece: `data: {"choices":[{"text":"` + strings.Repeat("x", 1000) + "\"}]}\n\n"},
+	{name: "a body", begin: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", piece: "x"},
+}
+
+// intercept lets an engine or service respond without end to the requests with endlessMarker.
+func (e endlessResponse) intercept(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if strings.Contains(string(body), endlessMarker) {
+			e.send(w, r)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Guards against the same at the product's own interface: an engine or a service that sends without end to a host, and
+// through it to an entry that collects the response.
+func TestOwnResponsesWithoutEndStayWithinTheMemory(t *testing.T) {
+	for _, name := range []string{fleet.ServerName(0), fleet.EntryName(0)} {
+		for _, e := range ownEndlessResponses {
+			t.Run(strings.ReplaceAll(e.name, " ", "_")+"_at_"+name, func(t *testing.T) {
+				spec := fastSpec()
+				spec.Intercept = e.intercept
+				s := startLimitedWith(t, name, spec, smallestHostMB)
+				usage := s.watchDaemon(name)
+				s.callEndless(time.Now().Add(endlessTime))
+				s.requireServed(name, usage, smallestHostMB)
+			})
+		}
+	}
+}
+
+// ownEndlessCallers is the number of callers, half of them of an engine and half of a service.
+const ownEndlessCallers = 40
+
+// callEndless sends requests that are responded to without end, until a time.
+func (s *testbed) callEndless(end time.Time) {
+	var callers sync.WaitGroup
+	for i := range ownEndlessCallers {
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				c := call{path: "/v1/services/" + fleet.Service + "/x", body: endlessMarker}
+				if i%2 == 0 {
+					c = call{path: "/v1/completions", body: completionBody(endlessMarker, 5, false)}
+				}
+				c.headers = map[string]string{"X-Request-Deadline": endlessRemaining.String()}
+				s.do(c)
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // callUntil lets many callers send requests until a time, and returns when the last response has ended.
 func callUntil(entry gateway.Settings, end time.Time, to endlessTarget) {
 	var callers sync.WaitGroup
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -58,6 +58,8 @@
 	PoisonText string
 	// MaxBodyBytes bounds the body of a request; 0 selects the default of the entries.
 	MaxBodyBytes int64
+	// Intercept, if not nil, wraps the handlers of the engines and the services.
+	Intercept func(http.Handler) http.Handler
 	// NewHost returns the loopback IP address of a daemon; nil puts all of them on one address.
 	NewHost func() string
 }
@@ -111,7 +113,7 @@
 	e := engine.New(engine.Options{Name: ServerName(i), Spec: f.Spec.Engine, Speed: f.Spec.Speed, ChecksFencing: f.Spec.ChecksFencing,
 		OrderDelay: f.Spec.OrderDelay, Model: Model, Version: Version, CrashesOn: func(prompt []byte) bool { return f.crashOn(prompt, process.Load()) }})
 	f.Engines = append(f.Engines, e)
-	url, server, err := f.serve(e.Handler())
+	url, server, err := f.serve(f.intercepted(e.Handler()))
 	if err != nil {
 		return err
 	}
@@ -119,7 +121,7 @@
 	f.engineURLs = append(f.engineURLs, url)
 	s := service.New(f.Spec.ServiceDelay)
 	f.Services = append(f.Services, s)
-	url, _, err = f.serve(s)
+	url, _, err = f.serve(f.intercepted(s))
 	f.serviceURLs = append(f.serviceURLs, url)
 	return err
 }
@@ -139,6 +141,14 @@
 // CrashedEngines returns the number of engines that crashed on a prompt.
 func (f *Fleet) CrashedEngines() int { return int(f.crashed.Load()) }
 
+// intercepted returns a handler as Spec.Intercept wraps it.
+func (f *Fleet) intercepted(handler http.Handler) http.Handler {
+	if f.Spec.Intercept == nil {
+		return handler
+	}
+	return f.Spec.Intercept(handler)
+}
+
 func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
