Cut a response off whose service has broken off

What callers saw: at the product's own interface, a part of a service's response with status 200 and a regular end. The service had sent a part and its connection ended early or was reset; the entry appended the text of an error event and ended the response.

Cause: an error after the first byte is sent as an event, which a reader of an event stream tells by the missing [DONE]. The sink did so for each response, also of plain services, whose callers take a regular end for all of it.

Change: only an event stream gets the event. Another response that has begun is cut off, as forwarded ones are.

--- a/entry/server/api.go
+++ b/entry/server/api.go
@@ -248,7 +248,8 @@
 	return nil
 }
 
-// finish writes the final response, if it isn't written yet, and records the outcome.
+// finish writes the final response, if it isn't written yet, and records the outcome. It panics with http.ErrAbortHandler
+// if the connection has to end so that the response does not look complete.
 func (s *Server) finish(t *task, conclusion execution.Conclusion) {
 	s.count(conclusion.Outcome)
 	t.record.Outcome, t.record.Attempts, t.record.Took = conclusion.Outcome.String(), conclusion.Attempts, time.Since(t.record.Time)
@@ -261,6 +262,9 @@
 		err = t.sink.fail(t.options.ID, conclusion.Outcome, *conclusion.Refusal)
 	}
 	s.routing.add(t.record)
+	if errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
 	if err != nil {
 		s.Log.WithError(err).WithField("request", t.options.ID).Debug("the caller disconnected before the response was written")
 	}
--- a/entry/server/sink.go
+++ b/entry/server/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"arbutusdeck/core/callers"
 	"arbutusdeck/core/execution"
@@ -17,7 +18,8 @@
 	end() error
 	// discard drops the frames that a buffering sink has collected.
 	discard()
-	// fail reports an error: as an error response, or as an event if the response has begun.
+	// fail reports an error: as an error response, or as an event if an event stream has begun. If another response has
+	// begun it returns http.ErrAbortHandler.
 	fail(id execution.RequestID, outcome execution.Outcome, refusal execution.Refusal) error
 }
 
@@ -26,6 +28,8 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	started bool
+	// events is set if the response is an event stream.
+	events bool
 }
 
 func newPassthroughSink(w http.ResponseWriter) *passthroughSink {
@@ -34,7 +38,7 @@
 
 func (s *passthroughSink) write(frame execution.Frame) error {
 	if !s.started {
-		s.started = true
+		s.started, s.events = true, isEventStream(frame)
 		if frame.ContentType != "" {
 			s.w.Header().Set("Content-Type", frame.ContentType)
 		}
@@ -53,12 +57,16 @@
 
 func (s *passthroughSink) discard() {}
 
-// fail writes an error event if a part of the response was written. The caller can distinguish
-// such a response from a complete one, which ends with data: [DONE].
+// fail writes an error event if a part of an event stream was written. The caller can distinguish
+// such a response from a complete one, which ends with data: [DONE]. Another response would look complete
+// if it ended regularly.
 func (s *passthroughSink) fail(id execution.RequestID, outcome execution.Outcome, refusal execution.Refusal) error {
 	if !s.started {
 		return writeProblem(s.w, id, outcome, refusal)
 	}
+	if !s.events {
+		return http.ErrAbortHandler
+	}
 	encoded, err := json.Marshal(newProblem(id, outcome, refusal))
 	if err != nil {
 		return err
@@ -112,8 +120,12 @@
 
 const eventStream = "text/event-stream"
 
+func isEventStream(frame execution.Frame) bool {
+	return strings.HasPrefix(frame.ContentType, eventStream)
+}
+
 func (s *bufferedSink) write(frame execution.Frame) error {
-	if s.passthrough == nil && s.firstEvent == nil && !bytes.HasPrefix([]byte(frame.ContentType), []byte(eventStream)) {
+	if s.passthrough == nil && s.firstEvent == nil && !isEventStream(frame) {
 		s.passthrough = newPassthroughSink(s.w)
 	}
 	if s.passthrough != nil {
