Open a connection to an engine for each request

What callers saw: an answer that no request had asked for. An engine or service that sends one more response after a whole one had it passed on to the next caller of the connection, at the product's own interface.

Cause: the host reused its connections to engines. net/http refuses bytes on an idle connection, but hands the connection to a waiting request before it looks at what it has already read.

A row of the removal of safeguards.

Change: a connection for each request, as entries open to servers for the same reason. It also covers a response that comes late, and a request that is lost on a connection which the engine is about to close. Connections to the store and between daemons are kept.

--- a/host/engine/client.go
+++ b/host/engine/client.go
@@ -53,13 +53,14 @@
 // dialTimeout bounds the opening of a connection to an engine.
 const dialTimeout = time.Second
 
-// NewClient returns a client for a base URL such as http://127.0.0.1:8000.
+// NewClient returns a client for a base URL such as http://127.0.0.1:8000. It opens a connection for each request: on a
+// reused one a late or additional response would be taken for that of the next request.
 func NewClient(base string) *Client {
 	dialer := &netopts.Dialer{Dialer: net.Dialer{Control: netopts.ReceiveControl(callers.ServerReceiveBytes, netopts.NoControl)}, RunTimeout: dialTimeout}
 	transport := responses.NewTransport(&http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 256,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	})
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
--- a/host/engine/client_test.go
+++ b/host/engine/client_test.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +40,44 @@
 	}
 }
 
+// Guards against a response that belongs to no request: an engine or service sends one more after a whole response, and the next
+// request of the connection gets it as its own.
+func TestAResponseTooManyReachesNoCaller(t *testing.T) {
+	const callers, calls = 16, 500
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		connection, in, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer connection.Close()
+		for err == nil {
+			_, _ = fmt.Fprint(connection, response+"good"+response+"evil")
+			_, err = http.ReadRequest(in.Reader)
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient(server.URL)
+	var others atomic.Int64
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			for range calls {
+				body := ""
+				err := client.Run(t.Context(), Call{Method: http.MethodPost, Path: "/"}, func(_ ResponseHead, data []byte) error {
+					body += string(data)
+					return nil
+				})
+				if err == nil && body != "good" {
+					others.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	require.Zero(t, others.Load(), "of %d responses", callers*calls)
+}
+
 // Guards against passing on, or taking for an answer to an order, what is no response.
 func TestAMalformedResponseIsNoAnswer(t *testing.T) {
 	client := NewClient(responsestest.NewServer(t, responsestest.Sending(responsestest.Malformed)))
--- a/proof/mutations/responses_mutations_test.go
+++ b/proof/mutations/responses_mutations_test.go
@@ -36,4 +36,5 @@
 	{"collected responses are charged", "entry/server/sink.go", "	if !m.reserve(needed - m.reserved) {\n", "	if needed < 0 {\n", entryServerPkg, "TestACollectedResponse"},
 	{"a response that can't be collected is not taken for a lost caller", "entry/server/driver.go", "	if errors.Is(err, callers.ErrMemoryFull) {\n", "	if errors.Is(err, callers.ErrMemoryFull) && false {\n", entryServerPkg, "TestACollectedResponse"},
 	{"a response that breaks off does not end regularly", "entry/server/sink.go", "	if !s.events {\n", "	if false {\n", entryServerPkg, "TestAResponseThatBreaksOff"},
+	{"a response too many reaches nobody", "host/engine/client.go", "		DisableKeepAlives:  true,\n", "", hostEngine, "TestAResponseTooMany"},
 }
