Test that a request is repeated after a reset during its upload

The entry gives a request that may be repeated to another server after a response without a length was reset during the upload: green in eight plays; red in three of three (the caller gets "half") in a scratch copy whose connections don't report the reset.

--- a/entry/gateway/earlyresponse_test.go
+++ b/entry/gateway/earlyresponse_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +73,26 @@
 		})
 	}
 }
+
+// Guards against giving up on a request that may be repeated after such a response: its caller gets that of another server.
+func TestARequestIsRepeatedAfterAResetDuringTheUpload(t *testing.T) {
+	w := newTestbed(t)
+	w.configure(func(c map[string]any) { c["Limits"].(map[string]any)["MaxBodyBytes"] = uploadBytes })
+	asked := atomic.Int64{}
+	broken := standin.NewWorker("i-1", "plain")
+	broken.BeforeBody = func(out http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		resetDuringUpload("half")(out, r)
+	}
+	w.addRow(broken)
+	w.worker("i-2", "plain", nil)
+	s := w.serve()
+	body := strings.Repeat("b", uploadBytes)
+	for calls := 0; asked.Load() == 0; calls++ {
+		require.Less(t, calls, 100, "the broken one is never asked")
+		r := w.call(s, http.MethodPost, "/read/x", 0, body)
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusOK, r.status, r.body)
+		require.Equal(t, "answer of i-2", r.body)
+	}
+}
